feat(core): add workspace, design page, core types and protocol

Cause: the project has no code yet. Change: crates round a core without I/O, the wire protocol with generated code, settings, logs, metrics and events, the sheet parser, route types, and the design page.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of banyansill.
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,134 @@
+//! Numbered events and the hybrid clock that orders them over all processes.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// Stamp of a hybrid logical clock.
+///
+/// Stamps follow wall time closely and a cause always has a smaller stamp than its effect.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct HybridStamp {
+    /// Wall time in milliseconds since the Unix epoch.
+    pub millis: u64,
+    /// Orders stamps with equal `millis`.
+    pub counter: u32,
+}
+
+impl HybridStamp {
+    /// Returns the stamp of a local event at wall time `now_ms`.
+    #[must_use]
+    pub const fn next(self, now_ms: u64) -> Self {
+        if now_ms > self.millis {
+            Self { millis: now_ms, counter: 0 }
+        } else {
+            Self { millis: self.millis, counter: self.counter + 1 }
+        }
+    }
+
+    /// Returns the stamp of receiving a message stamped `remote` at wall time `now_ms`.
+    #[must_use]
+    pub fn merge(self, remote: Self, now_ms: u64) -> Self {
+        self.max(remote).next(now_ms)
+    }
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal;)*) => {
+        /// Number of an event; the catalogue is `docs/events.md`.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[repr(u16)]
+        pub enum EventNumber {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl EventNumber {
+            /// Every event, in ascending order.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the event's short text.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// A process is ready to serve.
+    ProcessReady = 1, "process ready";
+    /// A process received a stop signal.
+    ProcessStopping = 2, "process stopping";
+    /// A process stopped after finishing its work.
+    ProcessStopped = 3, "process stopped";
+    /// A control replica became leader.
+    LeaderElected = 101, "control leader elected";
+    /// A control leader stepped down.
+    LeaderLost = 102, "control leader stepped down";
+    /// A control replica stopped voting because its disk failed.
+    DiskFailed = 103, "control disk failed";
+    /// A control replica installed a snapshot.
+    SnapshotInstalled = 104, "snapshot installed";
+    /// The set of control replicas changed.
+    MembersChanged = 105, "control members changed";
+    /// A sheet was accepted.
+    SheetAccepted = 201, "sheet accepted";
+    /// A sheet was refused because its number is taken by other content.
+    SheetConflict = 202, "sheet conflict";
+    /// An entry applied a sheet.
+    SheetApplied = 203, "sheet applied";
+    /// An entry joined.
+    EntryJoined = 301, "entry joined";
+    /// An entry's node lease ran out.
+    EntryExpired = 302, "entry expired";
+    /// A target announced itself for the first time or with a new incarnation.
+    TargetJoined = 303, "target joined";
+    /// A target is leaving or was drained.
+    TargetLeaving = 304, "target leaving";
+    /// A broker was assigned to a target.
+    BrokerAssigned = 305, "broker assigned";
+    /// A target became unreachable for its broker.
+    TargetUnreachable = 401, "target unreachable";
+    /// A target became reachable again.
+    TargetReachable = 402, "target reachable";
+    /// A term was closed; its primary is not acknowledged any more.
+    TermClosed = 403, "term closed";
+    /// The old broker confirmed that it stopped acknowledging.
+    TermFenced = 404, "term fenced";
+    /// A candidate for promotion was chosen.
+    CandidateChosen = 405, "promotion candidate chosen";
+    /// A target was promoted and its term is in force.
+    PrimaryPromoted = 406, "primary promoted";
+    /// A broker acknowledged the first write of a term.
+    FirstWrite = 407, "first write of the term acknowledged";
+    /// An entry holds a node lease.
+    LeaseGained = 501, "node lease gained";
+    /// An entry lost its node lease.
+    LeaseLost = 502, "node lease lost";
+    /// A broker opened its target connections.
+    BrokerOpened = 503, "broker opened";
+    /// A broker closed its target connections.
+    BrokerClosed = 504, "broker closed";
+    /// A connection in an unknown protocol state was closed.
+    ConnectionDiscarded = 505, "connection discarded";
+}
+
+impl EventNumber {
+    /// Returns the number.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl fmt::Display for EventNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "BS{:03} {}", self.number(), self.text())
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions of banyansill as plain state machines.
+//!
+//! Nothing here opens a socket, reads a clock or awaits. Time and random numbers are passed in, so
+//! that tests drive every machine on virtual time.
+
+pub mod collections;
+pub mod event;
+pub mod failure;
+pub mod machine;
+pub mod names;
+pub mod position;
+pub mod route;
+pub mod sheet;
+pub mod time;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,4 @@
+//! Entry process: callers' sessions, brokers of targets, heartbeat and watch.
+
+pub mod lease;
+pub mod link;
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,7 @@
+//! Settings, logs, metrics, events and clocks of banyansill's processes.
+
+pub mod clock;
+pub mod events;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Generated protobuf and tonic code of the protocol between processes, and conversions to core types.
+//!
+//! `cargo run -p xtask` regenerates `src/generated` from `proto/banyansill.proto`.
+
+mod convert;
+
+#[allow(missing_docs, clippy::all, clippy::pedantic, clippy::must_use_candidate)]
+#[allow(clippy::missing_const_for_fn, clippy::missing_errors_doc, unreachable_pub)]
+#[rustfmt::skip]
+#[path = "generated/banyansill.v1.rs"]
+pub mod v1;
