--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,3 @@
-//! Part of banyansill.
+//! Control process: durable replicated state, membership, sheet and promotion.
+
+pub mod command_log;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod events;
 pub mod logs;
 pub mod metrics;
+pub mod server;
 pub mod settings;
