--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -83,6 +83,8 @@
     pub version: u64,
     /// Database groups by name.
     pub databases: FastMap<SharedName, Arc<DatabaseRoute>>,
+    /// Number of the sheet in force; 0 before one was accepted.
+    pub sheet_number: u64,
     /// Sheet in force, if one was accepted.
     pub sheet: Option<Arc<RuleSheet>>,
 }
--- /dev/null
+++ b/crates/entry/src/membership/heartbeat.rs
@@ -0,0 +1,164 @@
+//! Heartbeats to control.
+
+use {
+    super::{ControlRing, MembershipLinks, MembershipSettings, connect},
+    banyansill_core::{
+        event::EventNumber,
+        names::SharedName,
+        route::RouteTable,
+        time::{HEARTBEAT_INTERVAL, NODE_LEASE, holder_expiry},
+    },
+    banyansill_wire::v1::{self, control_client::ControlClient},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{MissedTickBehavior, interval, timeout},
+    },
+    tonic::transport::Channel,
+};
+
+/// Time within which a heartbeat must be answered.
+///
+/// Three attempts fit into one lease, so one lost answer does not end the lease.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Shortest time between two heartbeats that are sent out of turn.
+const URGENT_GAP: Duration = Duration::from_millis(20);
+
+pub(super) struct HeartbeatTask {
+    settings: MembershipSettings,
+    links: MembershipLinks,
+    routes: watch::Receiver<Arc<RouteTable>>,
+    drain: watch::Receiver<bool>,
+    committed: watch::Sender<u64>,
+    ring: ControlRing,
+    client: Option<(SharedName, ControlClient<Channel>)>,
+    sequence: u64,
+    held: bool,
+}
+
+impl HeartbeatTask {
+    pub(super) fn new(
+        settings: MembershipSettings,
+        links: MembershipLinks,
+        routes: watch::Receiver<Arc<RouteTable>>,
+        drain: watch::Receiver<bool>,
+        committed: watch::Sender<u64>,
+    ) -> Self {
+        let ring = ControlRing::new(settings.control.clone());
+        Self {
+            settings,
+            links,
+            routes,
+            drain,
+            committed,
+            ring,
+            client: None,
+            sequence: 0,
+            held: false,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        let mut ticks = interval(HEARTBEAT_INTERVAL.as_duration());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut reports = self.links.reports.clone();
+        let mut routes = self.routes.clone();
+        let mut drain = self.drain.clone();
+        loop {
+            // A closed channel never changes again; its branch then stays silent.
+            tokio::select! {
+                _ = ticks.tick() => {}
+                Ok(()) = reports.changed() => tokio::time::sleep(URGENT_GAP).await,
+                Ok(()) = routes.changed() => tokio::time::sleep(URGENT_GAP).await,
+                Ok(()) = drain.changed() => {}
+            }
+            reports.mark_unchanged();
+            routes.mark_unchanged();
+            self.beat().await;
+            self.observe_lease();
+        }
+    }
+
+    /// Sends one heartbeat; on failure the next one goes to another replica on a new connection.
+    async fn beat(&mut self) {
+        let Some((address, mut client)) = self.client() else { return };
+        self.sequence += 1;
+        let request = self.request();
+        let sent = self.links.clock.now();
+        let reply = match timeout(REPLY_TIMEOUT, client.heartbeat(request)).await {
+            Ok(Ok(reply)) => reply.into_inner(),
+            Ok(Err(status)) => {
+                log::debug!("heartbeat to {address}: {status}");
+                self.client = None;
+                return;
+            }
+            Err(_) => {
+                log::debug!("heartbeat to {address}: no answer in time");
+                self.client = None;
+                return;
+            }
+        };
+        if reply.sequence != self.sequence {
+            return;
+        }
+        if !reply.leader.is_empty() && !reply.renewed {
+            self.follow_leader(&address, &reply.leader);
+            return;
+        }
+        if reply.version > *self.committed.borrow() {
+            self.committed.send_replace(reply.version);
+        }
+        if reply.renewed {
+            self.links.lease.extend(holder_expiry(sent, NODE_LEASE));
+        } else if reply.version == 0 {
+            // The replica knows no leader: another one may.
+            self.client = None;
+        }
+    }
+
+    fn request(&self) -> v1::HeartbeatRequest {
+        let table = self.routes.borrow();
+        let mut entry = self.settings.entry.clone();
+        entry.draining = *self.drain.borrow();
+        v1::HeartbeatRequest {
+            entry: Some(entry),
+            sequence: self.sequence,
+            applied_version: table.version,
+            sheet_number: table.sheet_number,
+            reports: self.links.reports.borrow().clone(),
+        }
+    }
+
+    fn client(&mut self) -> Option<(SharedName, ControlClient<Channel>)> {
+        if self.client.is_none() {
+            let address = self.ring.advance()?;
+            self.open(&address);
+        }
+        self.client.clone()
+    }
+
+    fn open(&mut self, address: &SharedName) {
+        match connect(address) {
+            Ok(channel) => self.client = Some((address.clone(), ControlClient::new(channel))),
+            Err(error) => log::warn!("control address {address}: {error}"),
+        }
+    }
+
+    fn follow_leader(&mut self, asked: &str, leader: &str) {
+        self.client = None;
+        if asked != leader {
+            self.open(&SharedName::from(leader));
+        }
+    }
+
+    fn observe_lease(&mut self) {
+        let held = self.links.lease.is_valid();
+        if held == self.held {
+            return;
+        }
+        self.held = held;
+        let number = if held { EventNumber::LeaseGained } else { EventNumber::LeaseLost };
+        self.links.events.record(number, &[]);
+    }
+}
