--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,5 @@
-//! Part of banyansill.
+//! Tools of the integration tests: processes, a fault-injecting TCP proxy and a history checker.
+
+pub mod history;
+pub mod process;
+pub mod proxy;
