--- a/crates/core/src/sheet.rs
+++ b/crates/core/src/sheet.rs
@@ -176,11 +176,11 @@
             .trim(csv::Trim::All)
             .from_reader(Cursor::new(content));
         let Some(columns) = self.read_header(&mut reader) else { return Err(self.faults) };
-        for record in reader.records() {
+        // Rows are counted as a spreadsheet does: a field with line breaks is still one row.
+        for (row, record) in (2..).zip(reader.records()) {
             match record {
-                Ok(record) => self.read_row(&columns, &record),
+                Ok(record) => self.read_row(row, &columns, &record),
                 Err(error) => {
-                    let row = error.position().map_or(0, |position| line_number(position.line()));
                     self.fault(row, "", format!("not readable as CSV text: {error}"));
                 }
             }
@@ -223,8 +223,12 @@
         self.faults.is_empty().then_some(columns)
     }
 
-    fn read_row(&mut self, columns: &FastMap<&'static str, usize>, record: &csv::StringRecord) {
-        let row = record.position().map_or(0, |position| line_number(position.line()));
+    fn read_row(
+        &mut self,
+        row: u32,
+        columns: &FastMap<&'static str, usize>,
+        record: &csv::StringRecord,
+    ) {
         if record.len() != COLUMNS.len() {
             let message = format!("has {} fields, the header has {}", record.len(), COLUMNS.len());
             self.fault(row, "", message);
@@ -345,10 +349,6 @@
     }
 }
 
-fn line_number(line: u64) -> u32 {
-    u32::try_from(line).unwrap_or(u32::MAX)
-}
-
 fn narrow(number: u64) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
