--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -248,7 +248,9 @@
 
     /// Records a fault of a field.
     pub fn fault(&mut self, field: &str, message: &str) {
-        let range = self.find(field).map_or(self.range, |value| span(value.range()));
+        // A missing field is reported at its object's opening brace.
+        let (start, _) = self.range;
+        let range = self.find(field).map_or((start, start + 1), |value| span(value.range()));
         let field = self.join(field);
         self.faults.push(SettingsFault { field, message: message.to_owned(), range });
     }
