feat(standin): add the stand-in server

Cause: proxies, tools and tests need a database group to run against without any outside server. Change: a library and a binary that speak the PostgreSQL protocol over tables in memory, with

lag, promotion, announcements, limits and faults. Conclusion: a first usable version; protocol edge cases and limits still need tests.

--- /dev/null
+++ b/crates/standin/src/settings.rs
@@ -0,0 +1,138 @@
+//! Settings of one server.
+
+use {
+    banyansill_core::names::SharedName,
+    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    std::net::{Ipv4Addr, SocketAddr},
+};
+
+/// Most slots or connections of one server; more only uses up the machine.
+const CAPACITY_LIMIT: u64 = 10_000;
+
+/// Longest settable delay: one hour.
+const DELAY_LIMIT_MS: u64 = 3_600_000;
+
+/// Role in which a server starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRole {
+    /// First primary of the group, without data.
+    Primary,
+    /// Replica of the primary at a replication address, or without one until it is told.
+    Replica(Option<SocketAddr>),
+}
+
+/// Settings of one server of a database group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandinSettings {
+    /// Database that the group holds.
+    pub database: SharedName,
+    /// Name of the server, unique in its group.
+    pub server: SharedName,
+    /// Address for PostgreSQL connections; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Address for the replication of other servers; port 0 takes a free one.
+    pub replication_listen: SocketAddr,
+    /// Region of the server.
+    pub region: SharedName,
+    /// Availability zone of the server.
+    pub zone: SharedName,
+    /// Role at the start.
+    pub role: StartRole,
+    /// Term at the start.
+    pub term: u64,
+    /// Statements that execute at a time.
+    pub slots: u64,
+    /// Connections that are accepted.
+    pub connections: u64,
+    /// Time that a new connection takes.
+    pub connection_cost_ms: u64,
+    /// Time that each statement takes besides its own work.
+    pub statement_cost_us: u64,
+    /// Delay between a commit and its visibility on a replica.
+    pub lag_ms: u64,
+    /// HTTP addresses of control replicas.
+    pub control: Vec<SocketAddr>,
+    /// Time between the announcement that the server is leaving and its end.
+    pub leave_ms: u64,
+    /// Levels of the log.
+    pub log: String,
+}
+
+impl StandinSettings {
+    /// Returns settings for a server on free loopback ports with the default capacity.
+    #[must_use]
+    pub fn loopback(database: &str, server: &str, role: StartRole) -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            database: SharedName::from(database),
+            server: SharedName::from(server),
+            listen: any,
+            replication_listen: any,
+            region: SharedName::from("local"),
+            zone: SharedName::from("local"),
+            role,
+            term: 1,
+            slots: 5,
+            connections: 70,
+            connection_cost_ms: 12,
+            statement_cost_us: 0,
+            lag_ms: 0,
+            control: Vec::new(),
+            leave_ms: 3_000,
+            log: "info".to_owned(),
+        }
+    }
+}
+
+impl SettingsSource for StandinSettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let mut settings = Self::loopback("", "", StartRole::Primary);
+        settings.database = SharedName::from(reader.string("database"));
+        settings.server = SharedName::from(reader.string("server"));
+        if let Some(address) = reader.parsed("listen") {
+            settings.listen = address;
+        }
+        if let Some(address) = reader.parsed("replication_listen") {
+            settings.replication_listen = address;
+        }
+        settings.region = SharedName::from(reader.string("region"));
+        settings.zone = SharedName::from(reader.string("zone"));
+        let role = reader.optional_string("role");
+        let follow = reader.optional_parsed("follow");
+        settings.role = match role.as_deref() {
+            Some("primary") if follow.is_some() => {
+                reader.fault("follow", "is only for the role \"replica\"");
+                StartRole::Primary
+            }
+            Some("primary") => StartRole::Primary,
+            Some("replica") => StartRole::Replica(follow),
+            Some(_) => {
+                reader.fault("role", "must be \"primary\" or \"replica\"");
+                StartRole::Primary
+            }
+            None => {
+                reader.fault("role", "must be given as \"primary\" or \"replica\"");
+                StartRole::Primary
+            }
+        };
+        settings.term = reader.number("term", settings.term, 1, u64::MAX / 2);
+        settings.slots = reader.number("slots", settings.slots, 1, CAPACITY_LIMIT);
+        settings.connections =
+            reader.number("connections", settings.connections, 1, CAPACITY_LIMIT);
+        settings.connection_cost_ms =
+            reader.number("connection_cost_ms", settings.connection_cost_ms, 0, DELAY_LIMIT_MS);
+        settings.statement_cost_us = reader.number(
+            "statement_cost_us",
+            settings.statement_cost_us,
+            0,
+            DELAY_LIMIT_MS * 1_000,
+        );
+        settings.lag_ms = reader.number("lag_ms", settings.lag_ms, 0, DELAY_LIMIT_MS);
+        settings.leave_ms = reader.number("leave_ms", settings.leave_ms, 0, DELAY_LIMIT_MS);
+        settings.control = reader.list("control");
+        if let Some(log) = reader.optional_string("log") {
+            settings.log = log;
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/standin/src/sql/write.rs
@@ -0,0 +1,433 @@
+//! Statements that write.
+
+use {
+    super::{
+        bind::{ExpressionBinder, ParameterTypes},
+        cursor::{QueryCursor, RowScan, StatementInput},
+        evaluate::{RowContext, convert, evaluate, holds},
+        expression::{BoundExpression, ExpressionNode},
+        fold,
+        plan::{ChangePlan, InsertPlan, InsertSource, QueryPlan, QuerySource, RowFilter},
+        query::{bind_filter, bind_returning, bind_table, table_scope},
+        simple_name,
+        typing::assign,
+    },
+    crate::{
+        error::{SqlError, StatementHalt},
+        locks::LockName,
+        store::{DataStore, OpenTransaction, StatementWrites},
+        table::TableSchema,
+        value::{SharedRow, Value},
+    },
+    sqlparser::ast::{
+        AssignmentTarget, Delete, Expr, FromTable, Insert, ObjectName, OnConflictAction, OnInsert,
+        Query, SetExpr, TableObject, Update,
+    },
+    std::{cell::Cell, sync::Arc},
+};
+
+/// Rows of `RETURNING` and the number of rows written.
+pub type WriteResult = (Vec<Vec<Value>>, u64);
+
+/// Binds `INSERT`.
+///
+/// # Errors
+///
+/// Returns an error if a name is unknown, types do not fit or a clause is not supported.
+pub fn bind_insert(
+    insert: &Insert,
+    data: &DataStore,
+    transaction: &OpenTransaction,
+    parameters: &mut ParameterTypes,
+) -> Result<InsertPlan, SqlError> {
+    let plain = insert.table_alias.is_none()
+        && insert.assignments.is_empty()
+        && insert.partitioned.is_none()
+        && insert.after_columns.is_empty()
+        && insert.overriding.is_none()
+        && insert.output.is_none()
+        && insert.insert_alias.is_none()
+        && !insert.overwrite
+        && !insert.replace_into
+        && !insert.by_name;
+    let TableObject::TableName(name) = &insert.table else {
+        return Err(SqlError::unsupported("INSERT into anything but a table"));
+    };
+    if !plain {
+        return Err(SqlError::unsupported(format!("the statement {insert}")));
+    }
+    let skip_conflicts = match &insert.on {
+        None => false,
+        Some(OnInsert::OnConflict(conflict))
+            if conflict.conflict_target.is_none()
+                && matches!(conflict.action, OnConflictAction::DoNothing) =>
+        {
+            true
+        }
+        Some(_) => {
+            return Err(SqlError::unsupported(
+                "ON CONFLICT other than DO NOTHING without a target",
+            ));
+        }
+    };
+    let schema = data.schema(transaction, &simple_name(name)?)?;
+    let mut targets = Vec::new();
+    for column in &insert.columns {
+        let index = target_column(&schema, column)?;
+        if targets.contains(&index) {
+            let message = format!("column \"{column}\" specified more than once");
+            return Err(SqlError::new("42701", message));
+        }
+        targets.push(index);
+    }
+    let named = !targets.is_empty();
+    if !named {
+        targets = (0..schema.columns.len()).collect();
+    }
+    let source = match &insert.source {
+        None => InsertSource::Rows(vec![Vec::new()]),
+        Some(query) => {
+            bind_values(query, &schema, &mut targets, named, data, transaction, parameters)?
+        }
+    };
+    let scope = table_scope(&schema);
+    let returning = bind_returning(insert.returning.as_deref(), &scope, parameters)?;
+    Ok(InsertPlan { schema, targets, source, skip_conflicts, returning })
+}
+
+fn bind_values(
+    query: &Query,
+    schema: &TableSchema,
+    targets: &mut Vec<usize>,
+    named: bool,
+    data: &DataStore,
+    transaction: &OpenTransaction,
+    parameters: &mut ParameterTypes,
+) -> Result<InsertSource, SqlError> {
+    let SetExpr::Values(values) = &*query.body else {
+        let mut plan = super::query::bind(query, data, transaction, parameters)?;
+        if plan.lock {
+            return Err(SqlError::unsupported("INSERT from SELECT FOR UPDATE"));
+        }
+        fit_targets(targets, named, plan.projection.len())?;
+        let mut projection = Vec::with_capacity(targets.len());
+        for (expression, target) in plan.projection.into_iter().zip(targets.iter()) {
+            let column = &schema.columns[*target];
+            projection.push(assign(expression, column.kind, &column.name)?);
+        }
+        plan.projection = projection;
+        return Ok(InsertSource::Query(Box::new(plan)));
+    };
+    let plain = query.with.is_none()
+        && query.order_by.is_none()
+        && query.limit_clause.is_none()
+        && query.fetch.is_none()
+        && query.locks.is_empty();
+    if !plain {
+        return Err(SqlError::unsupported("a clause after VALUES"));
+    }
+    let scope = super::bind::ColumnScope::default();
+    let mut rows = Vec::with_capacity(values.rows.len());
+    let width = values.rows.first().map_or(0, |row| row.content.len());
+    fit_targets(targets, named, width)?;
+    for values in &values.rows {
+        if values.content.len() != width {
+            return Err(SqlError::new("42601", "VALUES lists must all be the same length"));
+        }
+        let mut row = Vec::with_capacity(targets.len());
+        for (expression, target) in values.content.iter().zip(targets.iter()) {
+            let column = &schema.columns[*target];
+            if is_default(expression) {
+                row.push(None);
+                continue;
+            }
+            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            row.push(Some(binder.bind_as(expression, column.kind, &column.name)?));
+        }
+        rows.push(row);
+    }
+    Ok(InsertSource::Rows(rows))
+}
+
+/// Cuts the targets to the number of values, which may be smaller if no columns are named.
+fn fit_targets(targets: &mut Vec<usize>, named: bool, given: usize) -> Result<(), SqlError> {
+    if given > targets.len() {
+        return Err(SqlError::new("42601", "INSERT has more expressions than target columns"));
+    }
+    if named && given < targets.len() {
+        return Err(SqlError::new("42601", "INSERT has more target columns than expressions"));
+    }
+    targets.truncate(given);
+    Ok(())
+}
+
+/// Binds `UPDATE`.
+///
+/// # Errors
+///
+/// As [`bind_insert`].
+pub fn bind_update(
+    update: &Update,
+    data: &DataStore,
+    transaction: &OpenTransaction,
+    parameters: &mut ParameterTypes,
+) -> Result<ChangePlan, SqlError> {
+    let plain = update.from.is_none()
+        && update.output.is_none()
+        && update.or.is_none()
+        && update.order_by.is_empty()
+        && update.limit.is_none();
+    if !plain {
+        return Err(SqlError::unsupported(format!("the statement {update}")));
+    }
+    let (schema, scope) = bind_table(&update.table, data, transaction)?;
+    let mut assignments: Vec<(usize, BoundExpression)> = Vec::new();
+    for assignment in &update.assignments {
+        let AssignmentTarget::ColumnName(name) = &assignment.target else {
+            return Err(SqlError::unsupported(format!("the assignment {assignment}")));
+        };
+        let index = target_column(&schema, name)?;
+        let column = &schema.columns[index];
+        if assignments.iter().any(|(other, _)| *other == index) {
+            let message = format!("multiple assignments to same column \"{}\"", column.name);
+            return Err(SqlError::new("42601", message));
+        }
+        let value = if is_default(&assignment.value) {
+            if column.serial {
+                return Err(SqlError::unsupported("UPDATE of a serial column to DEFAULT"));
+            }
+            let default = column.default.clone().unwrap_or(Value::Null);
+            BoundExpression::new(ExpressionNode::Constant(default), column.kind)
+        } else {
+            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            binder.bind_as(&assignment.value, column.kind, &column.name)?
+        };
+        assignments.push((index, value));
+    }
+    let filter = bind_filter(update.selection.as_ref(), Some(&schema), &scope, parameters)?;
+    let returning = bind_returning(update.returning.as_deref(), &scope, parameters)?;
+    Ok(ChangePlan { schema, assignments: Some(assignments), filter, returning })
+}
+
+/// Binds `DELETE`.
+///
+/// # Errors
+///
+/// As [`bind_insert`].
+pub fn bind_delete(
+    delete: &Delete,
+    data: &DataStore,
+    transaction: &OpenTransaction,
+    parameters: &mut ParameterTypes,
+) -> Result<ChangePlan, SqlError> {
+    let plain = delete.tables.is_empty()
+        && delete.using.is_none()
+        && delete.output.is_none()
+        && delete.order_by.is_empty()
+        && delete.limit.is_none();
+    let FromTable::WithFromKeyword(from) = &delete.from else {
+        return Err(SqlError::unsupported(format!("the statement {delete}")));
+    };
+    let ([table], true) = (from.as_slice(), plain) else {
+        return Err(SqlError::unsupported(format!("the statement {delete}")));
+    };
+    let (schema, scope) = bind_table(table, data, transaction)?;
+    let filter = bind_filter(delete.selection.as_ref(), Some(&schema), &scope, parameters)?;
+    let returning = bind_returning(delete.returning.as_deref(), &scope, parameters)?;
+    Ok(ChangePlan { schema, assignments: None, filter, returning })
+}
+
+fn target_column(schema: &TableSchema, name: &ObjectName) -> Result<usize, SqlError> {
+    let name = simple_name(name)?;
+    schema.column(&name).ok_or_else(|| {
+        let message = format!("column \"{name}\" of relation \"{}\" does not exist", schema.name);
+        SqlError::new("42703", message)
+    })
+}
+
+fn is_default(expression: &Expr) -> bool {
+    matches!(expression, Expr::Identifier(ident) if ident.quote_style.is_none() && fold(ident) == "default")
+}
+
+/// Runs `INSERT`.
+///
+/// # Errors
+///
+/// Returns a halt if a row breaks a constraint or a lock is held by another transaction.
+pub fn insert(
+    plan: &InsertPlan,
+    input: &StatementInput,
+    data: &mut DataStore,
+    transaction: &mut OpenTransaction,
+    sleep: &Cell<f64>,
+) -> Result<WriteResult, StatementHalt> {
+    let context = input.context(sleep);
+    let schema = &plan.schema;
+    let mut writes = StatementWrites::new(schema.clone());
+    let mut result = (Vec::new(), 0);
+    for given in insert_rows(plan, input, data, transaction, sleep)? {
+        let mut row = Vec::with_capacity(schema.columns.len());
+        for (index, column) in schema.columns.iter().enumerate() {
+            let position = plan.targets.iter().position(|target| *target == index);
+            let value = position.and_then(|position| given.get(position)).cloned().flatten();
+            row.push(match value {
+                Some(value) => value,
+                None if column.serial => data.next_number(transaction, schema, index)?,
+                None => column.default.clone().unwrap_or(Value::Null),
+            });
+        }
+        let row = checked_row(schema, row)?;
+        let id = data.allocate_row();
+        match writes.put(id, None, Some(row.clone()), data, transaction) {
+            Ok(()) => {}
+            Err(StatementHalt::Failed(error))
+                if plan.skip_conflicts && error.sqlstate == "23505" =>
+            {
+                continue;
+            }
+            Err(halt) => return Err(halt),
+        }
+        result.1 += 1;
+        if !plan.returning.columns.is_empty() {
+            result.0.push(plan.returning.row(&row, &context)?);
+        }
+    }
+    writes.finish(transaction);
+    Ok(result)
+}
+
+/// Returns the values of an `INSERT` in the order of its targets; `None` is the default.
+fn insert_rows(
+    plan: &InsertPlan,
+    input: &StatementInput,
+    data: &DataStore,
+    transaction: &OpenTransaction,
+    sleep: &Cell<f64>,
+) -> Result<Vec<Vec<Option<Value>>>, SqlError> {
+    let context = input.context(sleep);
+    let mut rows = Vec::new();
+    match &plan.source {
+        InsertSource::Rows(expressions) => {
+            for row in expressions {
+                let mut values = Vec::with_capacity(row.len());
+                for expression in row {
+                    let value =
+                        expression.as_ref().map(|expression| evaluate(expression, &[], &context));
+                    values.push(value.transpose()?);
+                }
+                rows.push(values);
+            }
+        }
+        InsertSource::Query(query) => {
+            if matches!(query.source, QuerySource::Status) {
+                return Err(SqlError::unsupported("INSERT from group_status()"));
+            }
+            let plan = Arc::new((**query).clone());
+            let status = SharedRow::from([]);
+            let mut cursor = QueryCursor::open(plan, input.clone(), status, data, transaction)?;
+            while !cursor.is_done() {
+                cursor.step(data, sleep)?;
+                while let Some(row) = cursor.take() {
+                    rows.push(row.into_iter().map(Some).collect());
+                }
+            }
+        }
+    }
+    Ok(rows)
+}
+
+/// Runs `UPDATE` or `DELETE`.
+///
+/// # Errors
+///
+/// As [`insert`]; also a halt if a row changed after the snapshot.
+pub fn change(
+    plan: &ChangePlan,
+    input: &StatementInput,
+    data: &mut DataStore,
+    transaction: &mut OpenTransaction,
+    sleep: &Cell<f64>,
+) -> Result<WriteResult, StatementHalt> {
+    let context = input.context(sleep);
+    let schema = &plan.schema;
+    let mut writes = StatementWrites::new(schema.clone());
+    let mut result = (Vec::new(), 0);
+    for (id, old) in locked_rows(schema, &plan.filter, data, transaction, &context)? {
+        let new = match &plan.assignments {
+            None => None,
+            Some(assignments) => {
+                let mut row = old.to_vec();
+                for (column, expression) in assignments {
+                    row[*column] = evaluate(expression, &old, &context)?;
+                }
+                Some(checked_row(schema, row)?)
+            }
+        };
+        writes.put(id, Some(&old), new.clone(), data, transaction)?;
+        result.1 += 1;
+        if !plan.returning.columns.is_empty() {
+            result.0.push(plan.returning.row(new.as_ref().unwrap_or(&old), &context)?);
+        }
+    }
+    writes.finish(transaction);
+    Ok(result)
+}
+
+/// Locks the rows of `SELECT ... FOR UPDATE`.
+///
+/// Every row of the filter is locked, also beyond `LIMIT`.
+///
+/// # Errors
+///
+/// As [`change`].
+pub fn lock_query(
+    plan: &QueryPlan,
+    input: &StatementInput,
+    data: &mut DataStore,
+    transaction: &mut OpenTransaction,
+    sleep: &Cell<f64>,
+) -> Result<(), StatementHalt> {
+    let QuerySource::Table(schema) = &plan.source else { return Ok(()) };
+    locked_rows(schema, &plan.filter, data, transaction, &input.context(sleep))?;
+    Ok(())
+}
+
+fn locked_rows(
+    schema: &TableSchema,
+    filter: &RowFilter,
+    data: &mut DataStore,
+    transaction: &OpenTransaction,
+    context: &RowContext<'_>,
+) -> Result<Vec<(u64, SharedRow)>, StatementHalt> {
+    let overlay = transaction.writes.get(&schema.id);
+    let mut scan = RowScan::open(schema, filter, data, transaction, context)?;
+    let mut rows = Vec::new();
+    while let Some((id, row)) = scan.next(data, overlay)? {
+        if holds(filter.condition.as_ref(), &row, context)? {
+            rows.push((id, row));
+        }
+    }
+    for (id, _) in &rows {
+        data.locks.acquire(transaction.id, LockName::Row(schema.id, *id))?;
+        let latest = data.tables.get(&schema.id).map_or(0, |rows| rows.latest_offset(*id));
+        if latest > transaction.snapshot.position.offset {
+            return Err(StatementHalt::Stale);
+        }
+    }
+    Ok(rows)
+}
+
+fn checked_row(schema: &TableSchema, row: Vec<Value>) -> Result<SharedRow, SqlError> {
+    let mut checked = Vec::with_capacity(row.len());
+    for (value, column) in row.into_iter().zip(&schema.columns) {
+        if value.is_null() && column.not_null {
+            let message = format!(
+                "null value in column \"{}\" of relation \"{}\" violates not-null constraint",
+                column.name, schema.name
+            );
+            return Err(SqlError::new("23502", message));
+        }
+        checked.push(convert(value, column.kind)?);
+    }
+    Ok(checked.into())
+}
