--- a/crates/standin/src/session/execute.rs
+++ b/crates/standin/src/session/execute.rs
@@ -49,7 +49,6 @@
         limit: u64,
         last: bool,
     ) -> Result<(), SessionFault> {
-        self.cancel.mark_unchanged();
         if matches!(portal.progress, PortalProgress::Ready) {
             portal.progress = self.start(portal).await?;
         } else if let PortalTask::Plan(StatementPlan::Query(_)) = &portal.task {
--- a/crates/standin/src/session/mod.rs
+++ b/crates/standin/src/session/mod.rs
@@ -134,6 +134,7 @@
             }
             PgWireFrontendMessage::Query(query) => {
                 self.skip_to_sync = false;
+                self.cancel.mark_unchanged();
                 match self.simple_query(&query.query).await {
                     Err(SessionFault::Statement(error)) => self.fail(&error),
                     other => other?,
@@ -146,7 +147,10 @@
             PgWireFrontendMessage::Parse(parse) => self.parse(parse)?,
             PgWireFrontendMessage::Bind(bind) => self.bind(bind)?,
             PgWireFrontendMessage::Describe(describe) => self.describe(&describe)?,
-            PgWireFrontendMessage::Execute(execute) => self.execute(&execute).await?,
+            PgWireFrontendMessage::Execute(execute) => {
+                self.cancel.mark_unchanged();
+                self.execute(&execute).await?;
+            }
             PgWireFrontendMessage::Close(close) => self.close(&close)?,
             PgWireFrontendMessage::Flush(_) => self.send().await?,
             other => {
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -2,6 +2,8 @@
 // Each test file uses a part, and the helpers run in tests only.
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub mod raw;
+
 use {
     banyansill_core::position::LogPosition,
     banyansill_standin::{
@@ -88,3 +90,10 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Returns the memory that the process uses.
+pub fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap();
+    let pages: u64 = text.split_whitespace().nth(1).unwrap().parse().unwrap();
+    pages * 4096
+}
