--- /dev/null
+++ b/crates/entry/src/broker/connection.rs
@@ -0,0 +1,369 @@
+//! One connection to a target.
+
+use {
+    super::{
+        frame::{ErrorFields, ProtocolFault, parse_backend, whole_message},
+        replies::{OutputStep, ReplyTracker},
+        settings::BrokerSettings,
+    },
+    banyansill_core::position::LogPosition,
+    bytes::BytesMut,
+    postgres_protocol::{
+        authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256},
+        message::{backend::Message, frontend},
+    },
+    std::{
+        io,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::Notify,
+        time::timeout,
+    },
+};
+
+/// Connection to a target that could not be opened or used.
+#[derive(Debug, Error)]
+pub enum ConnectionFault {
+    /// The socket failed.
+    #[error("socket: {0}")]
+    Socket(#[from] io::Error),
+    /// The target broke the protocol.
+    #[error("{0}")]
+    Protocol(#[from] ProtocolFault),
+    /// The target answered with an error.
+    #[error("refused with {code}: {message}")]
+    Refused {
+        /// SQLSTATE of the error.
+        code: String,
+        /// Message of the error.
+        message: String,
+    },
+    /// The target did not answer in time.
+    #[error("no answer in time")]
+    Silent,
+}
+
+impl ConnectionFault {
+    fn refused(message: &[u8]) -> Self {
+        let fields = ErrorFields::read(message);
+        Self::Refused {
+            code: String::from_utf8_lossy(&fields.code).into_owned(),
+            message: String::from_utf8_lossy(&fields.message).into_owned(),
+        }
+    }
+}
+
+/// Number of open connections of a target, with a notice for each that closes.
+#[derive(Debug, Default)]
+pub(super) struct ConnectionCounter {
+    open: AtomicU32,
+    closed: Notify,
+}
+
+impl ConnectionCounter {
+    pub(super) fn open(&self) -> u32 {
+        self.open.load(Ordering::Acquire)
+    }
+
+    pub(super) async fn closed(&self) {
+        self.closed.notified().await;
+    }
+}
+
+/// Counts one connection from before its set-up until its end.
+#[derive(Debug)]
+pub(super) struct CountedConnection(Arc<ConnectionCounter>);
+
+impl CountedConnection {
+    pub(super) fn new(counter: &Arc<ConnectionCounter>) -> Self {
+        counter.open.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(counter))
+    }
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+        self.0.closed.notify_one();
+    }
+}
+
+/// Address and key with which a statement of a connection is cancelled.
+#[derive(Clone, Debug)]
+pub(super) struct CancelKey {
+    address: String,
+    process: i32,
+    secret: i32,
+}
+
+impl CancelKey {
+    /// Sends a CancelRequest and waits until the target has taken it.
+    pub(super) async fn send(&self, limit: Duration) -> Result<(), ConnectionFault> {
+        let exchange = async {
+            let mut stream = TcpStream::connect(&self.address).await?;
+            let mut request = BytesMut::new();
+            frontend::cancel_request(self.process, self.secret, &mut request);
+            stream.write_all(&request).await?;
+            let mut rest = [0_u8; 16];
+            // The target closes the connection once the cancel is delivered.
+            while stream.read(&mut rest).await? > 0 {}
+            Ok(())
+        };
+        timeout(limit, exchange).await.map_err(|_| ConnectionFault::Silent)?
+    }
+}
+
+/// Open connection to a target in a known protocol state.
+#[derive(Debug)]
+pub(super) struct TargetConnection {
+    pub(super) stream: TcpStream,
+    pub(super) read: BytesMut,
+    pub(super) replies: ReplyTracker,
+    pub(super) cancel_key: CancelKey,
+    /// When the target last answered on this connection.
+    pub(super) heard: banyansill_core::time::Micros,
+    _counted: CountedConnection,
+}
+
+const READ_BUFFER: usize = 16 << 10;
+
+impl TargetConnection {
+    /// Connects and starts up as the user and database of the settings.
+    pub(super) async fn open(
+        address: &str,
+        database: &str,
+        settings: &BrokerSettings,
+        counted: CountedConnection,
+    ) -> Result<Self, ConnectionFault> {
+        let opening = Self::start_up(address, database, settings, counted);
+        let limit = settings.connect_timeout.as_duration();
+        timeout(limit, opening).await.map_err(|_| ConnectionFault::Silent)?
+    }
+
+    async fn start_up(
+        address: &str,
+        database: &str,
+        settings: &BrokerSettings,
+        counted: CountedConnection,
+    ) -> Result<Self, ConnectionFault> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let cancel_key = CancelKey { address: address.to_owned(), process: 0, secret: 0 };
+        let mut connection = Self {
+            stream,
+            read: BytesMut::with_capacity(READ_BUFFER),
+            replies: ReplyTracker::default(),
+            cancel_key,
+            heard: banyansill_core::time::Micros::ZERO,
+            _counted: counted,
+        };
+        let mut request = BytesMut::new();
+        let database = settings.database.as_deref().unwrap_or(database);
+        let parameters = [
+            ("user", settings.user.as_str()),
+            ("database", database),
+            ("application_name", "banyansill"),
+            ("client_encoding", "UTF8"),
+        ];
+        frontend::startup_message(parameters, &mut request)?;
+        connection.stream.write_all(&request).await?;
+        connection.authenticate(settings).await?;
+        Ok(connection)
+    }
+
+    async fn authenticate(&mut self, settings: &BrokerSettings) -> Result<(), ConnectionFault> {
+        let password = settings.password.as_deref().unwrap_or_default();
+        let mut scram: Option<ScramSha256> = None;
+        loop {
+            let message = self.read_message().await?;
+            let mut reply = BytesMut::new();
+            match parse_backend(&message) {
+                Some(Message::AuthenticationOk) => {}
+                Some(Message::AuthenticationCleartextPassword) => {
+                    frontend::password_message(password.as_bytes(), &mut reply)?;
+                }
+                Some(Message::AuthenticationSasl(_)) => {
+                    let state =
+                        ScramSha256::new(password.as_bytes(), ChannelBinding::unsupported());
+                    frontend::sasl_initial_response(SCRAM_SHA_256, state.message(), &mut reply)?;
+                    scram = Some(state);
+                }
+                Some(Message::AuthenticationSaslContinue(body)) => {
+                    let state = scram.as_mut().ok_or(ProtocolFault("authentication order"))?;
+                    state.update(body.data())?;
+                    frontend::sasl_response(state.message(), &mut reply)?;
+                }
+                Some(Message::AuthenticationSaslFinal(body)) => {
+                    let state = scram.as_mut().ok_or(ProtocolFault("authentication order"))?;
+                    state.finish(body.data())?;
+                }
+                Some(Message::BackendKeyData(body)) => {
+                    self.cancel_key.process = body.process_id();
+                    self.cancel_key.secret = body.secret_key();
+                }
+                Some(Message::ParameterStatus(body)) => {
+                    if body.name()? == "group_position" {
+                        self.replies.position = body.value()?.parse().ok();
+                    }
+                }
+                Some(Message::NoticeResponse(_)) => {}
+                Some(Message::ReadyForQuery(_)) => return Ok(()),
+                Some(Message::ErrorResponse(_)) => return Err(ConnectionFault::refused(&message)),
+                _ => return Err(ProtocolFault("message during start-up").into()),
+            }
+            if !reply.is_empty() {
+                self.stream.write_all(&reply).await?;
+            }
+        }
+    }
+
+    async fn read_message(&mut self) -> Result<BytesMut, ConnectionFault> {
+        loop {
+            if let Some((_, length)) = whole_message(&self.read)? {
+                return Ok(self.read.split_to(length));
+            }
+            if self.stream.read_buf(&mut self.read).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+
+    /// Runs one simple query and returns its rows as text.
+    pub(super) async fn query(
+        &mut self,
+        sql: &str,
+        limit: Duration,
+    ) -> Result<QueryRows, ConnectionFault> {
+        timeout(limit, self.exchange(sql)).await.map_err(|_| ConnectionFault::Silent)?
+    }
+
+    async fn exchange(&mut self, sql: &str) -> Result<QueryRows, ConnectionFault> {
+        let mut request = BytesMut::new();
+        frontend::query(sql, &mut request)?;
+        self.stream.write_all(&request).await?;
+        let mut rows = QueryRows::default();
+        let mut fault = None;
+        loop {
+            let message = self.read_message().await?;
+            match parse_backend(&message) {
+                Some(Message::RowDescription(body)) => rows.read_names(&body)?,
+                Some(Message::DataRow(body)) => rows.read_values(&body)?,
+                Some(Message::ErrorResponse(_)) => {
+                    fault = Some(ConnectionFault::refused(&message));
+                }
+                Some(Message::ParameterStatus(body)) => {
+                    if body.name()? == "group_position" {
+                        self.replies.position = body.value()?.parse().ok();
+                    }
+                }
+                Some(Message::ReadyForQuery(_)) => return fault.map_or(Ok(rows), Err),
+                Some(_) => {}
+                None => return Err(ProtocolFault("message in an answer").into()),
+            }
+        }
+    }
+
+    /// Sends a Sync on an idle connection and waits for its answer.
+    pub(super) async fn synchronize(&mut self, limit: Duration) -> Result<(), ConnectionFault> {
+        let exchange = async {
+            let mut request = BytesMut::new();
+            frontend::sync(&mut request);
+            self.stream.write_all(&request).await?;
+            loop {
+                let message = self.read_message().await?;
+                match message.first() {
+                    Some(b'Z') => return Ok(()),
+                    Some(b'E') => return Err(ConnectionFault::refused(&message)),
+                    _ => {}
+                }
+            }
+        };
+        timeout(limit, exchange).await.map_err(|_| ConnectionFault::Silent)?
+    }
+
+    /// Resets the state of the session that used the connection.
+    pub(super) async fn discard_all(&mut self, limit: Duration) -> Result<(), ConnectionFault> {
+        self.query("DISCARD ALL", limit).await?;
+        self.replies.forget_statements();
+        Ok(())
+    }
+
+    /// Returns whether an idle connection is still open and silent, as it should be.
+    pub(super) fn is_usable(&mut self) -> bool {
+        loop {
+            match self.stream.try_read_buf(&mut self.read) {
+                Ok(0) => return false,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return false,
+            }
+        }
+        if self.read.is_empty() {
+            return true;
+        }
+        // Notices and parameters may come at any time; anything else has no owner.
+        let mut out = BytesMut::new();
+        let step = self.replies.next_step(&mut self.read, &mut out, false);
+        step == Ok(OutputStep::NeedMore) && self.read.is_empty()
+    }
+
+    /// Returns the latest position that the target reported on this connection.
+    pub(super) const fn position(&self) -> Option<LogPosition> {
+        self.replies.position
+    }
+}
+
+/// Rows of a query as text.
+#[derive(Debug, Default)]
+pub(super) struct QueryRows {
+    names: Vec<String>,
+    rows: Vec<Vec<String>>,
+}
+
+impl QueryRows {
+    /// Returns a column of the first row.
+    pub(super) fn first(&self, column: &str) -> Option<&str> {
+        let index = self.names.iter().position(|name| name == column)?;
+        Some(self.rows.first()?.get(index)?.as_str())
+    }
+
+    fn read_names(
+        &mut self,
+        body: &postgres_protocol::message::backend::RowDescriptionBody,
+    ) -> io::Result<()> {
+        let mut fields = body.fields();
+        while let Some(field) = fallible_next(&mut fields)? {
+            self.names.push(field.name().to_owned());
+        }
+        Ok(())
+    }
+
+    fn read_values(
+        &mut self,
+        body: &postgres_protocol::message::backend::DataRowBody,
+    ) -> io::Result<()> {
+        let mut values = Vec::new();
+        let mut ranges = body.ranges();
+        while let Some(range) = fallible_next(&mut ranges)? {
+            let bytes = range.map(|range| &body.buffer()[range]).unwrap_or_default();
+            values.push(String::from_utf8_lossy(bytes).into_owned());
+        }
+        self.rows.push(values);
+        Ok(())
+    }
+}
+
+fn fallible_next<I>(iterator: &mut I) -> Result<Option<I::Item>, I::Error>
+where
+    I: fallible_iterator::FallibleIterator,
+{
+    iterator.next()
+}
--- /dev/null
+++ b/crates/entry/src/broker/hub.rs
@@ -0,0 +1,475 @@
+//! The hub: follows the route table and the node lease, and runs one broker per assigned target.
+
+use {
+    super::{
+        grant::GrantTask,
+        keeper, probe,
+        remote::PeerPool,
+        settings::BrokerSettings,
+        target::{TargetGate, TargetShared, failure},
+    },
+    crate::{
+        lease::NodeLease,
+        link::{self, GrantLink, GrantPeer, GrantRequest, GrantRouter, LinkOutput},
+    },
+    banyansill_core::{
+        collections::FastMap,
+        event::EventNumber,
+        failure::FailureKind,
+        names::SharedName,
+        position::LogPosition,
+        route::{DatabaseRoute, RouteTable, TargetRoute},
+        time::Micros,
+    },
+    banyansill_runtime::{clock::MonotonicClock, events::EventSink},
+    banyansill_wire::v1::TargetReport,
+    cadence::{Counted, Gauged, StatsdClient},
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        task::JoinHandle,
+        time::{Instant, interval, sleep},
+    },
+};
+
+/// Interval at which an invalid lease is looked at again.
+const LEASE_RETRY: Duration = Duration::from_millis(10);
+
+/// Longest interval between looks at a valid lease.
+const LEASE_LOOK: Duration = Duration::from_millis(100);
+
+/// Time for which the report of a closed broker is kept, so that heartbeats confirm the release.
+const CLOSED_REPORT: Duration = Duration::from_secs(10);
+
+pub(super) type TargetKey = (SharedName, SharedName);
+
+#[derive(Debug, Default)]
+struct ReportBook {
+    reports: BTreeMap<(String, String), TargetReport>,
+    closed: BTreeMap<(String, String), Instant>,
+}
+
+#[derive(Debug, Default)]
+struct LimitCache {
+    version: u64,
+    limits: FastMap<(SharedName, SharedName, SharedName), Option<u32>>,
+}
+
+/// State that the hub, the brokers and the grants share.
+#[derive(Debug)]
+pub(super) struct HubShared {
+    pub(super) settings: Arc<BrokerSettings>,
+    pub(super) clock: MonotonicClock,
+    pub(super) lease: NodeLease,
+    pub(super) events: EventSink,
+    pub(super) routes: watch::Receiver<Arc<RouteTable>>,
+    pub(super) peers: PeerPool,
+    targets: RwLock<FastMap<TargetKey, Arc<TargetShared>>>,
+    book: Mutex<ReportBook>,
+    limits: Mutex<LimitCache>,
+    reports: watch::Sender<Vec<TargetReport>>,
+    grants: AtomicU64,
+    metrics: StatsdClient,
+}
+
+impl HubShared {
+    /// Returns the broker of a target on this host.
+    pub(super) fn local(
+        &self,
+        database: &SharedName,
+        server: &SharedName,
+    ) -> Option<Arc<TargetShared>> {
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        targets.get(&(database.clone(), server.clone())).cloned()
+    }
+
+    fn locals(&self) -> Vec<Arc<TargetShared>> {
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        targets.values().cloned().collect()
+    }
+
+    pub(super) fn route(&self, database: &str) -> Option<Arc<DatabaseRoute>> {
+        self.routes.borrow().databases.get(database).cloned()
+    }
+
+    /// Serves a grant at the broker on this host.
+    pub(super) fn serve(self: &Arc<Self>, peer: GrantPeer) {
+        let request = &peer.request;
+        let Some(shared) = self.local(&request.database, &request.server) else {
+            let kind = FailureKind::WrongEpoch;
+            refuse(&peer, kind, "this host is not the target's broker");
+            return;
+        };
+        let hub = Arc::clone(self);
+        self.grants.fetch_add(1, Ordering::AcqRel);
+        tokio::spawn(async move {
+            let count = GrantCount(Arc::clone(&hub));
+            GrantTask::run(shared, hub, peer).await;
+            drop(count);
+        });
+    }
+
+    /// Returns how many requests of the application and kind may run at a time per target.
+    pub(super) fn concurrency_limit(&self, request: &GrantRequest) -> Option<u32> {
+        let table = self.routes.borrow();
+        let sheet = table.sheet.as_ref()?;
+        let mut cache = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        if cache.version != table.version {
+            cache.version = table.version;
+            cache.limits.clear();
+        }
+        let key = (request.database.clone(), request.application.clone(), request.kind.clone());
+        if let Some(limit) = cache.limits.get(&key) {
+            return *limit;
+        }
+        let rule = sheet.find(&request.database, &request.application, &request.kind);
+        let limit = rule.and_then(|rule| rule.max_concurrent);
+        cache.limits.insert(key, limit);
+        limit
+    }
+
+    fn book(&self) -> MutexGuard<'_, ReportBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Publishes what a broker observes of its target.
+    pub(super) fn publish(&self, shared: &TargetShared) {
+        let report = shared.report();
+        let key = (report.database.clone(), report.server.clone());
+        let mut book = self.book();
+        if report.open_connections > 0 || !shared.retired() {
+            book.closed.remove(&key);
+        } else {
+            book.closed.entry(key.clone()).or_insert_with(Instant::now);
+        }
+        book.reports.insert(key, report);
+        let all = book.reports.values().cloned().collect();
+        drop(book);
+        self.reports.send_replace(all);
+    }
+
+    fn forget_closed(&self) {
+        let mut book = self.book();
+        let mut expired = Vec::new();
+        for (key, since) in &book.closed {
+            if since.elapsed() > CLOSED_REPORT {
+                expired.push(key.clone());
+            }
+        }
+        for key in &expired {
+            book.closed.remove(key);
+            book.reports.remove(key);
+        }
+    }
+
+    fn send_metrics(&self) {
+        for shared in self.locals() {
+            let counters = &shared.counters;
+            let pairs = [
+                ("broker.granted", counters.granted.swap(0, Ordering::Relaxed)),
+                ("broker.refused", counters.refused.swap(0, Ordering::Relaxed)),
+                ("broker.lost", counters.lost.swap(0, Ordering::Relaxed)),
+                ("broker.waited_us", counters.waited_us.swap(0, Ordering::Relaxed)),
+            ];
+            for (name, value) in pairs {
+                let value = i64::try_from(value).unwrap_or(i64::MAX);
+                let metric = self.metrics.count_with_tags(name, value);
+                metric
+                    .with_tag("database", &shared.database)
+                    .with_tag("server", &shared.server)
+                    .send();
+            }
+            let (waiting, running) = shared.load();
+            let gauges = [
+                ("broker.waiting", waiting as u64),
+                ("broker.running", running as u64),
+                ("broker.connections", u64::from(shared.pooled.open())),
+            ];
+            for (name, value) in gauges {
+                let metric = self.metrics.gauge_with_tags(name, value);
+                metric
+                    .with_tag("database", &shared.database)
+                    .with_tag("server", &shared.server)
+                    .send();
+            }
+        }
+    }
+
+    fn record(&self, number: EventNumber, shared: &TargetShared, epoch: u64) {
+        let fields = [
+            ("database", shared.database.to_string()),
+            ("server", shared.server.to_string()),
+            ("epoch", epoch.to_string()),
+        ];
+        self.events.record(number, &fields);
+    }
+}
+
+struct GrantCount(Arc<HubShared>);
+
+impl Drop for GrantCount {
+    fn drop(&mut self) {
+        self.0.grants.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+pub(super) fn refuse(peer: &GrantPeer, kind: FailureKind, detail: &str) {
+    let _ = peer.output.try_send(LinkOutput::Refused(failure(kind, detail)));
+}
+
+/// Follows the routes and the lease for all brokers of this host.
+#[derive(Debug)]
+pub struct BrokerHub {
+    shared: Arc<HubShared>,
+    routes: watch::Receiver<Arc<RouteTable>>,
+    leased: bool,
+}
+
+impl BrokerHub {
+    /// Starts the brokers of this host.
+    #[must_use]
+    pub fn spawn(
+        settings: BrokerSettings,
+        clock: MonotonicClock,
+        lease: NodeLease,
+        routes: watch::Receiver<Arc<RouteTable>>,
+        events: EventSink,
+        metrics: StatsdClient,
+    ) -> BrokerHandle {
+        let shared = Arc::new(HubShared {
+            settings: Arc::new(settings),
+            clock,
+            lease,
+            events,
+            routes: routes.clone(),
+            peers: PeerPool::new(clock),
+            targets: RwLock::default(),
+            book: Mutex::default(),
+            limits: Mutex::default(),
+            reports: watch::Sender::new(Vec::new()),
+            grants: AtomicU64::new(0),
+            metrics,
+        });
+        let hub = Self { shared: Arc::clone(&shared), routes, leased: false };
+        let task = Arc::new(AbortOnDrop(tokio::spawn(hub.run())));
+        BrokerHandle { shared, task }
+    }
+
+    async fn run(mut self) {
+        let mut second = interval(Duration::from_secs(1));
+        self.leased = self.shared.lease.is_valid();
+        self.apply_routes();
+        loop {
+            let remaining = self.shared.lease.remaining().as_duration();
+            let look = if self.leased { remaining.min(LEASE_LOOK) } else { LEASE_RETRY };
+            tokio::select! {
+                biased;
+                () = sleep(look) => self.look_at_lease(),
+                changed = self.routes.changed() => {
+                    if changed.is_err() {
+                        self.close_all();
+                        return;
+                    }
+                    self.look_at_lease();
+                    self.apply_routes();
+                }
+                _ = second.tick() => {
+                    self.shared.send_metrics();
+                    self.shared.forget_closed();
+                }
+            }
+        }
+    }
+
+    fn look_at_lease(&mut self) {
+        let leased = self.shared.lease.is_valid();
+        if leased == self.leased {
+            return;
+        }
+        self.leased = leased;
+        for shared in self.shared.locals() {
+            if leased {
+                shared.gate.send_modify(|gate| gate.open = true);
+                self.shared.record(EventNumber::BrokerOpened, &shared, shared.epoch());
+            } else {
+                shared.close(FailureKind::NoLease);
+                self.shared.record(EventNumber::BrokerClosed, &shared, shared.epoch());
+            }
+            self.shared.publish(&shared);
+        }
+    }
+
+    fn apply_routes(&mut self) {
+        let table = self.routes.borrow_and_update().clone();
+        let mut previous = self.shared.locals();
+        previous.retain(|shared| !self.keep(&table, shared));
+        for shared in previous {
+            self.release(&table, &shared);
+        }
+        for (database, route) in &table.databases {
+            for target in &route.targets {
+                if target.broker == self.shared.settings.host {
+                    self.assign(database, route, target);
+                }
+            }
+        }
+    }
+
+    // Returns whether the assignment is unchanged.
+    fn keep(&self, table: &RouteTable, shared: &TargetShared) -> bool {
+        let Some(route) = table.databases.get(&shared.database) else { return false };
+        let Some(target) = route.target(&shared.server) else { return false };
+        target.broker == self.shared.settings.host
+            && target.epoch == shared.epoch()
+            && target.address == shared.address
+    }
+
+    fn release(&self, table: &RouteTable, shared: &Arc<TargetShared>) {
+        let target = table
+            .databases
+            .get(&shared.database)
+            .and_then(|route| route.target(&shared.server).map(|target| (route, target)));
+        // While no other broker is named, running work may end: a planned move interrupts nothing.
+        let unassigned = target.is_some_and(|(_, target)| target.broker.is_empty());
+        if let Some((route, target)) = target
+            && unassigned
+            && self.leased
+        {
+            shared.begin_closing(Arc::clone(route), target.draining);
+        } else {
+            shared.retire();
+            let key = (shared.database.clone(), shared.server.clone());
+            let mut targets = self.shared.targets.write().unwrap_or_else(PoisonError::into_inner);
+            targets.remove(&key);
+            drop(targets);
+            self.shared.record(EventNumber::BrokerClosed, shared, shared.epoch());
+        }
+        self.shared.publish(shared);
+    }
+
+    fn assign(&self, database: &SharedName, route: &Arc<DatabaseRoute>, target: &TargetRoute) {
+        let known = self.shared.local(database, &target.server);
+        let gate = TargetGate {
+            open: self.leased,
+            closing: false,
+            reachable: true,
+            epoch: target.epoch,
+            draining: target.draining,
+            route: Arc::clone(route),
+        };
+        if let Some(shared) = known {
+            if shared.update(gate) {
+                shared.resize(target.slots, target.connections);
+                self.shared.publish(&shared);
+            }
+            return;
+        }
+        let shared = TargetShared::new(
+            (database.clone(), target.server.clone(), target.address.clone()),
+            (target.slots, target.connections),
+            gate,
+            &self.shared,
+        );
+        let key = (database.clone(), target.server.clone());
+        let mut targets = self.shared.targets.write().unwrap_or_else(PoisonError::into_inner);
+        targets.insert(key, Arc::clone(&shared));
+        drop(targets);
+        if self.leased {
+            self.shared.record(EventNumber::BrokerOpened, &shared, target.epoch);
+        }
+        self.shared.publish(&shared);
+        tokio::spawn(keeper::run(Arc::clone(&shared), Arc::clone(&self.shared)));
+        tokio::spawn(probe::run(shared, Arc::clone(&self.shared)));
+    }
+
+    fn close_all(&self) {
+        for shared in self.shared.locals() {
+            shared.retire();
+            self.shared.publish(&shared);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Handle of the running brokers; the last clone that is dropped stops them.
+#[derive(Clone, Debug)]
+pub struct BrokerHandle {
+    pub(super) shared: Arc<HubShared>,
+    #[allow(dead_code, reason = "held so that the hub ends with its last handle")]
+    task: Arc<AbortOnDrop>,
+}
+
+impl BrokerHandle {
+    /// Returns what the brokers observe of their targets, for the heartbeat.
+    #[must_use]
+    pub fn reports(&self) -> watch::Receiver<Vec<TargetReport>> {
+        self.shared.reports.subscribe()
+    }
+
+    /// Returns the number of grants that brokers of this host serve.
+    #[must_use]
+    pub fn open_grants(&self) -> u64 {
+        self.shared.grants.load(Ordering::Acquire)
+    }
+}
+
+impl GrantRouter for BrokerHandle {
+    fn open(&self, request: GrantRequest) -> GrantLink {
+        let (link, peer) = link::pair(request);
+        let request = &peer.request;
+        let address = {
+            let table = self.shared.routes.borrow();
+            let route = table.databases.get(&request.database);
+            match route.and_then(|route| route.target(&request.server)) {
+                Some(target) if target.broker == self.shared.settings.host => None,
+                Some(target) if target.broker.is_empty() => {
+                    refuse(&peer, FailureKind::Unreachable, "the target has no broker");
+                    return link;
+                }
+                Some(target) => Some(target.broker_address.clone()),
+                None => {
+                    refuse(&peer, FailureKind::Unreachable, "unknown target");
+                    return link;
+                }
+            }
+        };
+        match address {
+            None => self.shared.serve(peer),
+            Some(address) => self.shared.peers.run(address, peer),
+        }
+        link
+    }
+
+    async fn high_water_mark(&self, database: &SharedName) -> Result<LogPosition, FailureKind> {
+        let route = self.shared.route(database).ok_or(FailureKind::UnknownDatabase)?;
+        let primary = route.open_primary().ok_or(FailureKind::NoPrimary)?;
+        if primary.broker == self.shared.settings.host {
+            let shared = self.shared.local(database, &primary.server);
+            return shared.ok_or(FailureKind::WrongEpoch)?.mark();
+        }
+        if primary.broker.is_empty() {
+            return Err(FailureKind::Unreachable);
+        }
+        self.shared.peers.high_water_mark(&primary.broker_address, database).await
+    }
+}
+
+/// Returns a span as whole microseconds.
+pub(super) fn micros(span: Duration) -> Micros {
+    Micros(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/broker/mod.rs
@@ -0,0 +1,24 @@
+//! Broker side of an entry: owns the connections, slots and queue of the targets assigned to this
+//! host and serves grants to sessions here and on other hosts.
+
+mod connection;
+mod convert;
+mod frame;
+mod grant;
+mod hub;
+mod keeper;
+mod lifecycle;
+mod position;
+mod probe;
+mod pump;
+mod remote;
+mod replies;
+mod service;
+mod settings;
+mod target;
+
+pub use {
+    hub::{BrokerHandle, BrokerHub},
+    service::{BrokerService, service},
+    settings::BrokerSettings,
+};
--- /dev/null
+++ b/crates/entry/src/broker/position.rs
@@ -0,0 +1,130 @@
+//! Waiting until a replica has reached a position.
+
+use {
+    super::{hub::HubShared, target::TargetShared},
+    banyansill_core::{
+        broker::{FloorVerdict, compare_floor},
+        position::LogPosition,
+        route::{TargetRole, TargetRoute},
+        time::Micros,
+    },
+    futures::{StreamExt, stream::FuturesUnordered},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// Pause before a failed question to another broker is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
+impl TargetShared {
+    /// Waits until the target, as a replica, has reached `position`; returns whether it has.
+    pub(super) async fn await_position(&self, position: LogPosition, span: Micros) -> bool {
+        let until = Instant::now() + span.as_duration();
+        let mut status = self.status.subscribe();
+        loop {
+            let known = *status.borrow_and_update();
+            let gate = self.gate.borrow().clone();
+            if !gate.open || !self.lease.is_valid() {
+                return false;
+            }
+            if let Some(known) = known
+                && known.role == TargetRole::Replica
+                && compare_floor(&gate.route.history, known.position, position)
+                    == FloorVerdict::Covered
+            {
+                return true;
+            }
+            self.poll_closely(Micros::from_millis(20));
+            let pause = Instant::now() + Duration::from_millis(10);
+            if Instant::now() >= until {
+                return false;
+            }
+            let _ = timeout_at(until.min(pause), status.changed()).await;
+        }
+    }
+}
+
+impl HubShared {
+    /// Asks the brokers of the group's other targets until one reports the position.
+    ///
+    /// The answer is true when a second server has the position, and false once `span` has passed.
+    pub(super) fn confirm(
+        self: &Arc<Self>,
+        shared: &Arc<TargetShared>,
+        position: LogPosition,
+        span: Micros,
+    ) -> oneshot::Receiver<bool> {
+        let (mut sender, answer) = oneshot::channel();
+        let hub = Arc::clone(self);
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            let confirmed = tokio::select! {
+                confirmed = hub.confirm_any(&shared, position, span) => confirmed,
+                () = sender.closed() => false,
+            };
+            let _ = sender.send(confirmed);
+        });
+        answer
+    }
+
+    async fn confirm_any(
+        &self,
+        shared: &TargetShared,
+        position: LogPosition,
+        span: Micros,
+    ) -> bool {
+        let route = shared.gate.borrow().route.clone();
+        let until = Instant::now() + span.as_duration();
+        let mut questions = FuturesUnordered::new();
+        for target in &route.targets {
+            if target.server != shared.server {
+                questions.push(self.ask_until(shared, target, position, until));
+            }
+        }
+        while let Some(reached) = questions.next().await {
+            if reached {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn ask_until(
+        &self,
+        shared: &TargetShared,
+        target: &TargetRoute,
+        position: LogPosition,
+        until: Instant,
+    ) -> bool {
+        loop {
+            let left = super::hub::micros(until.saturating_duration_since(Instant::now()));
+            if left == Micros::ZERO {
+                return false;
+            }
+            let reached = if target.broker == self.settings.host {
+                match self.local(&shared.database, &target.server) {
+                    Some(local) => local.await_position(position, left).await,
+                    None => false,
+                }
+            } else if target.broker.is_empty() {
+                false
+            } else {
+                let question = self.peers.await_position(
+                    &target.broker_address,
+                    &shared.database,
+                    &target.server,
+                    position,
+                    left,
+                );
+                timeout_at(until, question).await.unwrap_or(false)
+            };
+            if reached {
+                return true;
+            }
+            sleep(REPEAT_PAUSE.min(until.saturating_duration_since(Instant::now()))).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/broker/pump.rs
@@ -0,0 +1,500 @@
+//! Traffic of one grant between the session and the target.
+
+use {
+    super::{
+        grant::{CANCEL_WAIT, FIRST_DATA_WAIT, GrantEnd, GrantTask, STALLED_LIMIT},
+        replies::OutputStep,
+        target::{SlotAnswer, SlotAssignment},
+    },
+    crate::link::{LinkFailure, LinkInput, LinkOutput, TransactionStatus},
+    banyansill_core::{event::EventNumber, failure::FailureKind, position::LogTerm, time::Micros},
+    bytes::Bytes,
+    std::io,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        sync::{mpsc::error::TrySendError, oneshot},
+        time::Instant,
+    },
+};
+
+/// Bytes on their way to the target above which no more input is taken.
+const WIRE_LIMIT: usize = 256 << 10;
+
+/// Free space of the read buffer before each read.
+const READ_SPACE: usize = 16 << 10;
+
+#[allow(clippy::large_enum_variant, reason = "moving an assignment is cheaper than a box for it")]
+enum PumpEvent {
+    Gate,
+    OutputFree,
+    Slot(Result<SlotAssignment, LinkFailure>),
+    Input(Option<LinkInput>),
+    Read(io::Result<usize>),
+    Wrote(io::Result<usize>),
+    Timer,
+    Confirmed(bool),
+}
+
+impl GrantTask {
+    /// Moves messages until the grant ends.
+    pub(super) async fn serve(&mut self) -> GrantEnd {
+        match self.serve_all().await {
+            Ok(never) => match never {},
+            Err(end) => end,
+        }
+    }
+
+    async fn serve_all(&mut self) -> Result<std::convert::Infallible, GrantEnd> {
+        if self.stalled.is_empty() {
+            self.arm(Instant::now() + FIRST_DATA_WAIT);
+        }
+        self.feed_stalled()?;
+        loop {
+            self.flush_outbox()?;
+            self.flush_wire()?;
+            match self.next_event().await? {
+                PumpEvent::Gate => self.take_gate()?,
+                PumpEvent::OutputFree => {
+                    self.flush_outbox()?;
+                    self.take_output()?;
+                }
+                PumpEvent::Slot(answer) => {
+                    self.queued = None;
+                    let assignment = answer.map_err(|failure| self.cut_short(failure))?;
+                    self.take_slot(assignment);
+                    self.feed_stalled()?;
+                }
+                PumpEvent::Input(message) => self.take_input(message)?,
+                PumpEvent::Read(Ok(count)) if count > 0 => self.take_output()?,
+                PumpEvent::Wrote(Ok(count)) if count > 0 => {}
+                PumpEvent::Read(_) | PumpEvent::Wrote(_) => {
+                    return Err(self.interrupted(FailureKind::ConnectionLost));
+                }
+                PumpEvent::Timer => self.take_timer()?,
+                PumpEvent::Confirmed(confirmed) => self.take_confirmation(confirmed)?,
+            }
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<PumpEvent, GrantEnd> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(GrantEnd::refused(FailureKind::Unreachable, "no connection"));
+        };
+        connection.read.reserve(READ_SPACE);
+        let (mut reader, mut writer) = connection.stream.split();
+        let flowing = self.outbox.is_empty() && self.unconfirmed.is_none();
+        let takes_input = self.wire.len() < WIRE_LIMIT && self.stalled.len() < STALLED_LIMIT;
+        let event = tokio::select! {
+            biased;
+            _ = self.gate.changed() => PumpEvent::Gate,
+            permit = self.output.reserve(), if !self.outbox.is_empty() => match permit {
+                Ok(_) => PumpEvent::OutputFree,
+                Err(_) => return Err(GrantEnd::Released),
+            },
+            confirmed = answer_of(&mut self.confirmation), if self.confirmation.is_some() => {
+                PumpEvent::Confirmed(confirmed.unwrap_or(false))
+            }
+            read = reader.read_buf(&mut connection.read), if flowing => PumpEvent::Read(read),
+            message = self.input.recv(), if takes_input => PumpEvent::Input(message),
+            wrote = writer.write_buf(&mut self.wire), if !self.wire.is_empty() => {
+                PumpEvent::Wrote(wrote)
+            }
+            answer = async {
+                match &mut self.queued {
+                    Some(queued) => (&mut queued.answer).await.ok(),
+                    None => None,
+                }
+            }, if self.queued.is_some() => match answer {
+                Some(answer) => PumpEvent::Slot(answer),
+                None => return Err(self.interrupted(FailureKind::WrongEpoch)),
+            },
+            () = self.timer.as_mut(), if self.deadline.is_some() => PumpEvent::Timer,
+        };
+        Ok(event)
+    }
+
+    // Moves the timer only when it would fire too late: most statements end before they need it.
+    fn arm(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+        if self.timer.is_elapsed() || self.timer.deadline() > deadline {
+            self.timer.as_mut().reset(deadline);
+        }
+    }
+
+    fn flush_wire(&mut self) -> Result<(), GrantEnd> {
+        if self.wire.is_empty() {
+            return Ok(());
+        }
+        let Some(connection) = self.connection.as_mut() else { return Ok(()) };
+        match connection.stream.try_write(&self.wire) {
+            Ok(count) => {
+                bytes::Buf::advance(&mut self.wire, count);
+                Ok(())
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(_) => Err(self.interrupted(FailureKind::ConnectionLost)),
+        }
+    }
+
+    // Checks the lease and the term under the gate's lock, so that no answer enters the link after
+    // the term was reported as fenced.
+    fn flush_outbox(&mut self) -> Result<(), GrantEnd> {
+        while let Some(message) = self.outbox.pop_front() {
+            let writes = self.writes();
+            let term = LogTerm(self.request.term);
+            let gate = self.gate.borrow();
+            let checked = self.shared.view(&gate, |view| {
+                if !view.leased {
+                    Err(FailureKind::LeaseLost)
+                } else if writes && view.check_write(term).is_err() {
+                    Err(FailureKind::PrimaryReplaced)
+                } else {
+                    Ok(())
+                }
+            });
+            if let Err(kind) = checked {
+                drop(gate);
+                self.outbox.clear();
+                return Err(if matches!(message, LinkOutput::Granted { .. }) {
+                    self.interrupted(kind)
+                } else {
+                    GrantEnd::lost(kind, "the answer arrived too late to be passed on")
+                });
+            }
+            let is_write_answer = writes && matches!(message, LinkOutput::Ready { .. });
+            let sent = self.output.try_send(message);
+            drop(gate);
+            match sent {
+                Ok(()) if is_write_answer && self.shared.note_write() => self.record_first_write(),
+                Ok(()) => {}
+                Err(TrySendError::Full(message)) => {
+                    self.outbox.push_front(message);
+                    return Ok(());
+                }
+                Err(TrySendError::Closed(_)) => return Err(GrantEnd::Released),
+            }
+        }
+        Ok(())
+    }
+
+    fn record_first_write(&self) {
+        let fields = [
+            ("database", self.shared.database.to_string()),
+            ("server", self.shared.server.to_string()),
+            ("term", self.request.term.to_string()),
+        ];
+        self.shared.events.record(EventNumber::FirstWrite, &fields);
+    }
+
+    fn take_input(&mut self, message: Option<LinkInput>) -> Result<(), GrantEnd> {
+        match message {
+            Some(LinkInput::Data(data)) => {
+                self.stalled.push_back(data);
+                if self.slot.is_none() && self.queued.is_none() {
+                    self.request_next_slot()?;
+                }
+                self.feed_stalled()
+            }
+            Some(LinkInput::Taint) => {
+                self.tainted = true;
+                Ok(())
+            }
+            Some(LinkInput::Cancel) => self.cancel(),
+            Some(LinkInput::Release) | None => Err(GrantEnd::Released),
+        }
+    }
+
+    fn request_next_slot(&mut self) -> Result<(), GrantEnd> {
+        // The deadline of a later statement counts from its arrival.
+        if !self.first {
+            self.arm(Instant::now() + self.request.deadline.as_duration());
+        }
+        // The connection is held already, so the request counts as a continuation even outside a
+        // transaction: it could wait for no other connection.
+        let request = self.slot_request(true);
+        match self.shared.request_slot(request).map_err(|failure| self.cut_short(failure))? {
+            SlotAnswer::Now(assignment) => self.take_slot(assignment),
+            SlotAnswer::Later(queued) => self.queued = Some(queued),
+        }
+        Ok(())
+    }
+
+    fn feed_stalled(&mut self) -> Result<(), GrantEnd> {
+        if self.slot.is_none() {
+            return Ok(());
+        }
+        while let Some(data) = self.stalled.pop_front() {
+            self.feed(&data)?;
+        }
+        Ok(())
+    }
+
+    fn feed(&mut self, data: &Bytes) -> Result<(), GrantEnd> {
+        if self.started.is_none() {
+            self.start_statement()?;
+        }
+        let Some(connection) = self.connection.as_mut() else { return Ok(()) };
+        if connection.replies.feed(data, &mut self.wire).is_err() {
+            return Err(GrantEnd::lost(FailureKind::ConnectionLost, "message from the session"));
+        }
+        connection.replies.answer_local(&mut self.out);
+        if connection.replies.owes_nothing() && !self.out.is_empty() {
+            self.outbox.push_back(LinkOutput::Data(self.out.split().freeze()));
+        }
+        Ok(())
+    }
+
+    fn start_statement(&mut self) -> Result<(), GrantEnd> {
+        let gate = self.gate.borrow();
+        let writes = self.writes();
+        let term = LogTerm(self.request.term);
+        let checked = self.shared.view(&gate, |view| {
+            if writes {
+                view.check_write(term)
+            } else if view.leased {
+                Ok(())
+            } else {
+                Err(FailureKind::NoLease)
+            }
+        });
+        drop(gate);
+        checked.map_err(|kind| self.interrupted(kind))?;
+        let now = Instant::now();
+        self.started = Some(now);
+        let from = if self.first { self.opened } else { now };
+        self.arm(from + self.request.deadline.as_duration());
+        Ok(())
+    }
+
+    fn take_output(&mut self) -> Result<(), GrantEnd> {
+        let hold = self.writes();
+        loop {
+            if !self.outbox.is_empty() || self.unconfirmed.is_some() {
+                return Ok(());
+            }
+            let Some(connection) = self.connection.as_mut() else { return Ok(()) };
+            let step = connection.replies.next_step(&mut connection.read, &mut self.out, hold);
+            match step {
+                Ok(OutputStep::NeedMore) => {
+                    let free = connection.replies.free_length(&self.out);
+                    if free > 0 {
+                        connection.replies.passed_on(free);
+                        let data = self.out.split_to(free).freeze();
+                        self.outbox.push_back(LinkOutput::Data(data));
+                    }
+                    return Ok(());
+                }
+                Ok(OutputStep::Chunk) => {
+                    self.outbox.push_back(LinkOutput::Data(self.out.split().freeze()));
+                }
+                Ok(OutputStep::Ready(status)) => self.take_ready(status)?,
+                Ok(OutputStep::Fatal) => {
+                    return Err(self.interrupted(FailureKind::ConnectionLost));
+                }
+                Err(fault) => {
+                    log::warn!("target {}/{}: {fault}", self.shared.database, self.shared.server);
+                    return Err(self.interrupted(FailureKind::ConnectionLost));
+                }
+            }
+            self.flush_outbox()?;
+        }
+    }
+
+    fn take_ready(&mut self, status: u8) -> Result<(), GrantEnd> {
+        let status = match status {
+            b'I' => TransactionStatus::Idle,
+            b'T' => TransactionStatus::InTransaction,
+            b'E' => TransactionStatus::Failed,
+            _ => return Err(self.interrupted(FailureKind::ConnectionLost)),
+        };
+        let Some(connection) = self.connection.as_mut() else { return Ok(()) };
+        let position = connection.position();
+        let idle = connection.replies.is_idle();
+        if self.cancelling && idle {
+            // Without the cancel's error the cancel may still arrive, at another statement.
+            self.cancel_in_doubt |= !connection.replies.take_cancelled();
+        }
+        self.status = status;
+        let rose = position > self.baseline;
+        if let Some(position) = position
+            && rose
+        {
+            // The mark rises before the answer leaves, so that it covers every acknowledgement.
+            let gate = self.gate.borrow();
+            if gate.route.primary.as_deref() == Some(&*self.shared.server) {
+                self.shared.raise_mark(gate.route.term, position);
+            }
+        }
+        let data = self.out.split().freeze();
+        let ready = LinkOutput::Ready { status, position };
+        if status == TransactionStatus::Idle {
+            self.baseline = position;
+        }
+        let commits = rose && status == TransactionStatus::Idle && self.writes();
+        if let (true, Some(position)) = (commits && self.request.replica_ack, position) {
+            let left = self.deadline.unwrap_or_else(Instant::now) - Instant::now();
+            let left = Micros(u64::try_from(left.as_micros()).unwrap_or(u64::MAX));
+            let answer = self.hub.confirm(&self.shared, position, left);
+            self.confirmation = Some(answer);
+            self.unconfirmed = Some((data, ready));
+        } else {
+            self.push_answer(data, ready);
+        }
+        if idle {
+            self.end_statement();
+        }
+        Ok(())
+    }
+
+    fn push_answer(&mut self, data: Bytes, ready: LinkOutput) {
+        if !data.is_empty() {
+            self.outbox.push_back(LinkOutput::Data(data));
+        }
+        self.outbox.push_back(ready);
+    }
+
+    fn end_statement(&mut self) {
+        let ran = match self.started.take() {
+            // Later statements of a transaction have no fingerprint to learn for.
+            Some(started) if self.first && !self.cancelling => {
+                Some(Micros(u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX)))
+            }
+            _ => None,
+        };
+        self.first = false;
+        self.cancelling = false;
+        if self.unconfirmed.is_none() {
+            self.deadline = None;
+        }
+        if let Some(slot) = self.slot.take() {
+            slot.finish(ran);
+        }
+    }
+
+    fn take_confirmation(&mut self, confirmed: bool) -> Result<(), GrantEnd> {
+        self.confirmation = None;
+        if !confirmed {
+            let detail = "no second server reported the position";
+            return Err(GrantEnd::lost(FailureKind::UnconfirmedCommit, detail));
+        }
+        if let Some((data, ready)) = self.unconfirmed.take() {
+            self.push_answer(data, ready);
+        }
+        if self.started.is_none() && self.queued.is_none() {
+            self.deadline = None;
+        }
+        self.flush_outbox()?;
+        self.take_output()
+    }
+
+    fn take_timer(&mut self) -> Result<(), GrantEnd> {
+        let now = Instant::now();
+        if let Some(deadline) = self.deadline
+            && deadline > now
+        {
+            self.timer.as_mut().reset(deadline);
+            return Ok(());
+        }
+        if self.unconfirmed.is_some() {
+            let detail = "no second server reported the position in time";
+            return Err(GrantEnd::lost(FailureKind::UnconfirmedCommit, detail));
+        }
+        if self.queued.is_some() {
+            return Err(self.interrupted(FailureKind::QueueTimeout));
+        }
+        if self.started.is_none() {
+            // The session got a slot and sent nothing: others may use the slot.
+            self.slot = None;
+            self.deadline = None;
+            return Ok(());
+        }
+        if self.cancelling {
+            return Err(GrantEnd::lost(FailureKind::RunTimeout, "the cancel was not confirmed"));
+        }
+        if !self.writes() {
+            // The caller need not wait for the cancel of a read; `end` sends it.
+            return Err(GrantEnd::lost(FailureKind::RunTimeout, "the deadline passed"));
+        }
+        self.send_cancel();
+        self.arm(now + CANCEL_WAIT);
+        Ok(())
+    }
+
+    fn cancel(&mut self) -> Result<(), GrantEnd> {
+        if self.queued.is_some() {
+            return Err(self.interrupted(FailureKind::CancelledInQueue));
+        }
+        if self.started.is_none() || self.cancelling {
+            return Ok(());
+        }
+        self.send_cancel();
+        self.arm(Instant::now() + CANCEL_WAIT);
+        Ok(())
+    }
+
+    fn send_cancel(&mut self) {
+        let Some(connection) = self.connection.as_mut() else { return };
+        self.cancelling = true;
+        let _ = connection.replies.take_cancelled();
+        let key = connection.cancel_key.clone();
+        tokio::spawn(async move {
+            let _ = key.send(CANCEL_WAIT).await;
+        });
+    }
+
+    fn take_gate(&mut self) -> Result<(), GrantEnd> {
+        let gate = self.gate.borrow_and_update();
+        let leased = gate.open && self.shared.lease.is_valid();
+        let reachable = gate.reachable;
+        let replaced = gate.closed_for(self.request.term);
+        drop(gate);
+        if !leased {
+            return Err(self.interrupted(FailureKind::LeaseLost));
+        }
+        if !reachable {
+            return Err(self.interrupted(FailureKind::ConnectionLost));
+        }
+        if self.writes() && replaced {
+            return Err(self.interrupted(FailureKind::PrimaryReplaced));
+        }
+        Ok(())
+    }
+
+    fn cut_short(&self, failure: LinkFailure) -> GrantEnd {
+        if self.status == TransactionStatus::Idle {
+            GrantEnd::Refused(failure)
+        } else {
+            GrantEnd::lost(FailureKind::TransactionLost, &failure.detail)
+        }
+    }
+
+    /// Returns how the grant ends when something other than the session ends it.
+    pub(super) fn interrupted(&self, kind: FailureKind) -> GrantEnd {
+        if self.started.is_some() || self.unconfirmed.is_some() {
+            let kind = match kind {
+                FailureKind::NoLease => FailureKind::LeaseLost,
+                FailureKind::NoPrimary | FailureKind::WrongEpoch => FailureKind::PrimaryReplaced,
+                kind => kind,
+            };
+            return GrantEnd::lost(kind, "interrupted while running");
+        }
+        if self.status != TransactionStatus::Idle {
+            // No commit was sent, so the closed connection rolls back.
+            return GrantEnd::lost(FailureKind::TransactionLost, kind.name());
+        }
+        let kind = match kind {
+            FailureKind::LeaseLost => FailureKind::NoLease,
+            FailureKind::ConnectionLost => FailureKind::Unreachable,
+            FailureKind::PrimaryReplaced => FailureKind::NoPrimary,
+            kind => kind,
+        };
+        GrantEnd::refused(kind, "interrupted before it was sent")
+    }
+}
+
+async fn answer_of(confirmation: &mut Option<oneshot::Receiver<bool>>) -> Option<bool> {
+    match confirmation {
+        Some(answer) => answer.await.ok(),
+        None => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/broker/target.rs
@@ -0,0 +1,463 @@
+//! Shared state of one target's broker: gate, queue, idle connections, high-water mark.
+//!
+//! The state is behind a mutex that is never held across an await: a grant takes a slot and a
+//! connection without a message to another task, which keeps two channel hops off each statement.
+
+use {
+    super::{
+        connection::{ConnectionCounter, CountedConnection, TargetConnection},
+        hub::HubShared,
+        settings::BrokerSettings,
+    },
+    crate::{lease::NodeLease, link::LinkFailure},
+    banyansill_core::{
+        broker::{BrokerView, PoolCount, PoolRules, ProbeRecord, TargetStatus},
+        collections::FastMap,
+        failure::FailureKind,
+        names::SharedName,
+        position::{LogPosition, LogTerm},
+        queue::{QueueRefusal, QueueRules, SlotQueue, SlotRequest, SlotStart, SlotTicket},
+        route::DatabaseRoute,
+        time::Micros,
+    },
+    banyansill_runtime::{clock::MonotonicClock, events::EventSink},
+    std::sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    tokio::sync::{Notify, oneshot, watch},
+};
+
+/// Returns a failure with its kind's default retry hint.
+pub(super) fn failure(kind: FailureKind, detail: &str) -> LinkFailure {
+    LinkFailure { kind, retry_after: Micros::ZERO, detail: detail.to_owned() }
+}
+
+/// What the broker may do for its target at the moment.
+#[derive(Clone, Debug)]
+pub(super) struct TargetGate {
+    /// The lease is valid and the target is assigned to this host.
+    pub(super) open: bool,
+    /// The assignment was released; running work may end, new work is refused.
+    pub(super) closing: bool,
+    /// The probes reach the target.
+    pub(super) reachable: bool,
+    pub(super) epoch: u64,
+    pub(super) draining: bool,
+    pub(super) route: Arc<DatabaseRoute>,
+}
+
+impl TargetGate {
+    /// Returns whether writes under `term` are not acknowledged any more.
+    pub(super) fn closed_for(&self, term: u64) -> bool {
+        self.route.closed || self.route.term != LogTerm(term)
+    }
+}
+
+/// Slot, and for a fresh request also a connection.
+#[derive(Debug)]
+pub(super) struct SlotAssignment {
+    pub(super) slot: HeldSlot,
+    pub(super) connection: Option<TargetConnection>,
+    pub(super) waited: Micros,
+}
+
+/// Slot that returns to its queue when it is dropped.
+#[derive(Debug)]
+pub(super) struct HeldSlot {
+    shared: Arc<TargetShared>,
+    ticket: Option<SlotTicket>,
+}
+
+impl HeldSlot {
+    /// Gives the slot back after a statement that ran for `ran`.
+    pub(super) fn finish(mut self, ran: Option<Micros>) {
+        if let Some(ticket) = self.ticket.take() {
+            self.shared.finish(ticket, ran);
+        }
+    }
+}
+
+impl Drop for HeldSlot {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.shared.finish(ticket, None);
+        }
+    }
+}
+
+/// Answer to a request for a slot.
+#[allow(clippy::large_enum_variant, reason = "moving an assignment is cheaper than a box for it")]
+pub(super) enum SlotAnswer {
+    Now(SlotAssignment),
+    Later(QueuedSlot),
+}
+
+/// Place in the queue; dropping it leaves the queue.
+#[derive(Debug)]
+pub(super) struct QueuedSlot {
+    shared: Arc<TargetShared>,
+    ticket: SlotTicket,
+    pub(super) answer: oneshot::Receiver<Result<SlotAssignment, LinkFailure>>,
+}
+
+impl Drop for QueuedSlot {
+    fn drop(&mut self) {
+        self.shared.leave(self.ticket);
+    }
+}
+
+type SlotSender = oneshot::Sender<Result<SlotAssignment, LinkFailure>>;
+
+#[derive(Debug)]
+struct TargetState {
+    queue: SlotQueue,
+    idle: Vec<TargetConnection>,
+    waiters: FastMap<SlotTicket, SlotSender>,
+    opening: u32,
+    rules: PoolRules,
+    mark: Option<(LogTerm, LogPosition)>,
+}
+
+/// Counters of a target since its broker opened.
+#[derive(Debug, Default)]
+pub(super) struct TargetCounters {
+    pub(super) granted: AtomicU64,
+    pub(super) refused: AtomicU64,
+    pub(super) lost: AtomicU64,
+    pub(super) waited_us: AtomicU64,
+}
+
+/// Broker of one target as its tasks and grants share it.
+#[derive(Debug)]
+pub(super) struct TargetShared {
+    pub(super) database: SharedName,
+    pub(super) server: SharedName,
+    pub(super) address: SharedName,
+    pub(super) settings: Arc<BrokerSettings>,
+    pub(super) clock: MonotonicClock,
+    pub(super) lease: NodeLease,
+    pub(super) events: EventSink,
+    pub(super) epoch: u64,
+    pub(super) retired: AtomicBool,
+    pub(super) probes: Mutex<ProbeRecord>,
+    pub(super) gate: watch::Sender<TargetGate>,
+    pub(super) status: watch::Sender<Option<TargetStatus>>,
+    /// Connections of the pool, idle or in use.
+    pub(super) pooled: Arc<ConnectionCounter>,
+    /// Connections for probes and cancels.
+    pub(super) probing: Arc<ConnectionCounter>,
+    /// Wakes the task that keeps the pool warm.
+    pub(super) refill: Notify,
+    /// Wakes the probe before its interval has passed.
+    pub(super) poll: Notify,
+    poll_until: AtomicU64,
+    first_write: AtomicBool,
+    pub(super) counters: TargetCounters,
+    state: Mutex<TargetState>,
+}
+
+impl TargetShared {
+    pub(super) fn new(
+        names: (SharedName, SharedName, SharedName),
+        size: (u32, u32),
+        gate: TargetGate,
+        hub: &HubShared,
+    ) -> Arc<Self> {
+        let (database, server, address) = names;
+        let (slots, connections) = size;
+        let state = TargetState {
+            queue: SlotQueue::new(QueueRules::new(slots)),
+            idle: Vec::new(),
+            waiters: FastMap::default(),
+            opening: 0,
+            rules: PoolRules::new(slots, connections),
+            mark: None,
+        };
+        Arc::new(Self {
+            database,
+            server,
+            address,
+            settings: Arc::clone(&hub.settings),
+            clock: hub.clock,
+            lease: hub.lease.clone(),
+            events: hub.events.clone(),
+            epoch: gate.epoch,
+            retired: AtomicBool::new(false),
+            probes: Mutex::default(),
+            gate: watch::Sender::new(gate),
+            status: watch::Sender::new(None),
+            pooled: Arc::default(),
+            probing: Arc::default(),
+            refill: Notify::new(),
+            poll: Notify::new(),
+            poll_until: AtomicU64::new(0),
+            first_write: AtomicBool::new(false),
+            counters: TargetCounters::default(),
+            state: Mutex::new(state),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TargetState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls `decide` with what the broker knows now.
+    pub(super) fn view<T, F>(&self, gate: &TargetGate, decide: F) -> T
+    where
+        F: FnOnce(&BrokerView<'_>) -> T,
+    {
+        let view = BrokerView {
+            route: &gate.route,
+            server: &self.server,
+            leased: gate.open && self.lease.is_valid(),
+            status: *self.status.borrow(),
+            now: self.clock.now(),
+        };
+        decide(&view)
+    }
+
+    /// Changes the size of the target.
+    pub(super) fn resize(&self, slots: u32, connections: u32) {
+        let mut state = self.lock();
+        state.queue.set_slots(slots);
+        state.rules = PoolRules::new(slots, connections);
+        drop(state);
+        self.refill.notify_one();
+    }
+
+    /// Asks for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request that would miss its deadline.
+    pub(super) fn request_slot(
+        self: &Arc<Self>,
+        request: SlotRequest,
+    ) -> Result<SlotAnswer, LinkFailure> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let ticket = state.queue.enqueue(request, now).map_err(|refusal| match refusal {
+            QueueRefusal::WouldMiss { retry_after } => LinkFailure {
+                kind: FailureKind::Overloaded,
+                retry_after,
+                detail: "the queue is longer than the deadline".to_owned(),
+            },
+            QueueRefusal::DeadlinePassed => {
+                failure(FailureKind::QueueTimeout, "the deadline passed before the queue")
+            }
+        })?;
+        let mut own = None;
+        while let Some(start) = self.start_next(&mut state, now) {
+            if start.ticket == ticket {
+                own = Some(start);
+                break;
+            }
+            self.deliver(&mut state, start);
+        }
+        if let Some(start) = own {
+            let assignment = self.assignment(&mut state, start);
+            self.dispatch(&mut state, now);
+            return Ok(SlotAnswer::Now(assignment));
+        }
+        let (sender, answer) = oneshot::channel();
+        state.waiters.insert(ticket, sender);
+        drop(state);
+        self.refill.notify_one();
+        Ok(SlotAnswer::Later(QueuedSlot { shared: Arc::clone(self), ticket, answer }))
+    }
+
+    // A fresh request starts only with a connection at hand, so that a set-up never holds a slot.
+    fn start_next(&self, state: &mut TargetState, now: Micros) -> Option<SlotStart> {
+        while let Some(connection) = state.idle.last_mut() {
+            if connection.is_usable() {
+                break;
+            }
+            state.idle.pop();
+            self.refill.notify_one();
+        }
+        let fresh = !state.idle.is_empty();
+        state.queue.start_next(now, fresh)
+    }
+
+    fn assignment(self: &Arc<Self>, state: &mut TargetState, start: SlotStart) -> SlotAssignment {
+        let connection = if start.continues { None } else { state.idle.pop() };
+        let slot = HeldSlot { shared: Arc::clone(self), ticket: Some(start.ticket) };
+        SlotAssignment { slot, connection, waited: start.waited }
+    }
+
+    fn deliver(self: &Arc<Self>, state: &mut TargetState, start: SlotStart) {
+        let assignment = self.assignment(state, start);
+        let refused = match state.waiters.remove(&start.ticket) {
+            Some(sender) => sender.send(Ok(assignment)),
+            None => Err(Ok(assignment)),
+        };
+        // The requester has gone: undo the start within this lock.
+        if let Err(Ok(mut assignment)) = refused {
+            assignment.slot.ticket = None;
+            state.queue.finish(start.ticket, None);
+            if let Some(connection) = assignment.connection.take() {
+                state.idle.push(connection);
+            }
+        }
+    }
+
+    fn dispatch(self: &Arc<Self>, state: &mut TargetState, now: Micros) {
+        while let Some(start) = self.start_next(state, now) {
+            self.deliver(state, start);
+        }
+    }
+
+    fn finish(self: &Arc<Self>, ticket: SlotTicket, ran: Option<Micros>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.queue.finish(ticket, ran);
+        self.dispatch(&mut state, now);
+        drop(state);
+    }
+
+    fn leave(self: &Arc<Self>, ticket: SlotTicket) {
+        let mut state = self.lock();
+        state.waiters.remove(&ticket);
+        state.queue.cancel(ticket);
+    }
+
+    /// Takes a connection in an idle state back into the pool.
+    pub(super) fn put_back(self: &Arc<Self>, mut connection: TargetConnection) {
+        let now = self.clock.now();
+        connection.heard = now;
+        let gate = self.gate.borrow();
+        if !gate.open || gate.closing || !gate.reachable {
+            return;
+        }
+        let mut state = self.lock();
+        // With both locks held, a gate that closes later finds the connection in the pool.
+        drop(gate);
+        state.idle.push(connection);
+        self.dispatch(&mut state, now);
+    }
+
+    /// Returns a count for each connection to set up now.
+    pub(super) fn begin_opening(&self) -> Vec<CountedConnection> {
+        let mut state = self.lock();
+        let idle = u32::try_from(state.idle.len()).unwrap_or(u32::MAX);
+        let running = u32::try_from(state.queue.running()).unwrap_or(u32::MAX);
+        let open = self.pooled.open().saturating_sub(state.opening);
+        let running = running.min(open.saturating_sub(idle));
+        let kept = open.saturating_sub(idle + running);
+        let opening = state.opening;
+        let count = state.rules.to_open(PoolCount { idle, running, kept, opening });
+        state.opening += count;
+        let mut opened = Vec::new();
+        for _ in 0..count {
+            opened.push(CountedConnection::new(&self.pooled));
+        }
+        opened
+    }
+
+    /// Ends a set-up that `begin_opening` counted.
+    pub(super) fn end_opening(self: &Arc<Self>, connection: Option<TargetConnection>) {
+        self.lock().opening -= 1;
+        if let Some(connection) = connection {
+            self.put_back(connection);
+        }
+    }
+
+    /// Closes the idle connections.
+    pub(super) fn close_idle(&self) -> usize {
+        let idle = std::mem::take(&mut self.lock().idle);
+        idle.len()
+    }
+
+    /// Takes the idle connection that was heard from least recently, if that was before `limit`.
+    pub(super) fn take_unverified(&self, limit: Micros) -> Option<TargetConnection> {
+        let mut state = self.lock();
+        let mut oldest: Option<(usize, Micros)> = None;
+        for (index, connection) in state.idle.iter().enumerate() {
+            if oldest.is_none_or(|(_, heard)| connection.heard < heard) {
+                oldest = Some((index, connection.heard));
+            }
+        }
+        match oldest {
+            Some((index, heard)) if heard < limit => Some(state.idle.remove(index)),
+            _ => None,
+        }
+    }
+
+    /// Refuses every waiting request.
+    pub(super) fn refuse_waiting(&self, kind: FailureKind, detail: &str) {
+        let waiters = {
+            let mut state = self.lock();
+            let waiters = std::mem::take(&mut state.waiters);
+            for ticket in waiters.keys() {
+                state.queue.cancel(*ticket);
+            }
+            waiters
+        };
+        for (_, sender) in waiters {
+            let _ = sender.send(Err(failure(kind, detail)));
+        }
+    }
+
+    /// Returns the numbers of waiting requests and of slots in use.
+    pub(super) fn load(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.queue.waiting(), state.queue.running())
+    }
+
+    /// Asks the probe to poll the target's status closely for a while.
+    pub(super) fn poll_closely(&self, span: Micros) {
+        let until = self.clock.now() + span;
+        self.poll_until.fetch_max(until.0, Ordering::AcqRel);
+        self.poll.notify_one();
+    }
+
+    /// Returns whether somebody waits for the target's status.
+    pub(super) fn polls_closely(&self) -> bool {
+        self.clock.now().0 < self.poll_until.load(Ordering::Acquire)
+    }
+
+    /// Raises the high-water mark to a position seen under `term`.
+    pub(super) fn raise_mark(&self, term: LogTerm, position: LogPosition) {
+        let mut state = self.lock();
+        state.mark = match state.mark {
+            Some((known, mark)) if known == term => Some((term, mark.max(position))),
+            Some((known, mark)) if known > term => Some((known, mark)),
+            _ => Some((term, position)),
+        };
+    }
+
+    /// Forgets the high-water mark, since another broker may have acknowledged commits since.
+    pub(super) fn forget_mark(&self) {
+        self.lock().mark = None;
+    }
+
+    /// Returns the high-water mark.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if there is no lease, the term is closed or the primary's own position
+    /// is not known yet.
+    pub(super) fn mark(&self) -> Result<LogPosition, FailureKind> {
+        let gate = self.gate.borrow();
+        let term = gate.route.term;
+        self.view(&gate, |view| {
+            view.check_write(term)?;
+            if view.confirmed_primary() { Ok(()) } else { Err(FailureKind::NoPrimary) }
+        })?;
+        match self.lock().mark {
+            Some((known, mark)) if known == term => Ok(mark),
+            _ => Err(FailureKind::NoPrimary),
+        }
+    }
+
+    /// Returns whether this is the first acknowledged write since the broker or the term opened.
+    pub(super) fn note_write(&self) -> bool {
+        !self.first_write.load(Ordering::Relaxed) && !self.first_write.swap(true, Ordering::AcqRel)
+    }
+
+    /// Makes the next acknowledged write the first of its term.
+    pub(super) fn reset_first_write(&self) {
+        self.first_write.store(false, Ordering::Release);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,4 +1,5 @@
 //! Entry process: callers' sessions, brokers of targets, heartbeat and watch.
 
+pub mod broker;
 pub mod lease;
 pub mod link;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -64,6 +64,9 @@
     Data(Bytes),
     /// Cancels the statement that runs or waits.
     Cancel,
+    /// Reports that the session leaves state on the connection, such as settings or listeners;
+    /// the connection is reset before others use it.
+    Taint,
     /// Ends the grant; a connection in an idle state becomes free for others.
     Release,
 }
--- /dev/null
+++ b/crates/entry/tests/broker_grants.rs
@@ -0,0 +1,203 @@
+//! Grants on one target: answers, transactions, statements, reuse and cancels.
+
+mod broker_support;
+
+use {
+    banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
+    banyansill_entry::link::{GrantRouter, LinkInput, TransactionStatus},
+    broker_support::{
+        Outcome, TestHost, batch, bind_execute, fake::FakeTarget, name, once, outcome, read, run,
+        send, step, table, target, write,
+    },
+    bytes::BytesMut,
+    postgres_protocol::message::frontend,
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
+};
+
+async fn primary() -> (TestHost, FakeTarget) {
+    let fake = FakeTarget::start("primary").await;
+    let host = TestHost::start("a", table(vec![target("p", &fake, "a", "")]));
+    host.opened("p").await;
+    (host, fake)
+}
+
+// Guards against answers without their ReadyForQuery status or commit position.
+#[test]
+fn simple_queries_end_with_status_and_position() {
+    run(async {
+        let (host, _fake) = primary().await;
+        let answer = once(&host.handle, write("p"), "INSERT").await;
+        let position = Some(LogPosition::new(1, 11));
+        let expected =
+            Outcome::Ready { tags: "C".to_owned(), status: TransactionStatus::Idle, position };
+        assert_eq!(answer, expected);
+        assert_eq!(host.handle.high_water_mark(&name("db")).await, Ok(LogPosition::new(1, 11)));
+        let answer = once(&host.handle, read("p"), "ROWS 3000").await;
+        assert_eq!(answer.tags().len(), 3_002);
+        assert_eq!(once(&host.handle, read("p"), "BAD").await.tags(), "E");
+    });
+}
+
+// Guards against a Parse that the target refuses as a duplicate, and against ParseComplete out of
+// order when the connection answers it itself.
+#[test]
+fn shared_statements_are_parsed_once_per_connection() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut link = host.handle.open(read("p"));
+        for _ in 0..3 {
+            send(&link, LinkInput::Data(batch("bs_1", "ROWS 1"))).await;
+            assert_eq!(outcome(&mut link).await.tags(), "12DC");
+        }
+        assert_eq!(fake.count("parse bs_1"), 1);
+        let mut both = BytesMut::from(&batch("bs_2", "ROWS 1")[..]);
+        both.extend_from_slice(&batch("bs_2", "ROWS 1"));
+        send(&link, LinkInput::Data(both.freeze())).await;
+        assert_eq!(outcome(&mut link).await.tags(), "12DC");
+        assert_eq!(outcome(&mut link).await.tags(), "12DC");
+    });
+}
+
+// Guards against statements that count as known although an error skipped their Parse.
+#[test]
+fn an_error_forgets_what_it_skipped() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut link = host.handle.open(read("p"));
+        let mut buffer = BytesMut::new();
+        frontend::parse("bs_a", "BAD", [], &mut buffer).unwrap();
+        frontend::parse("bs_b", "ROWS 1", [], &mut buffer).unwrap();
+        bind_execute("bs_b", &mut buffer);
+        frontend::sync(&mut buffer);
+        send(&link, LinkInput::Data(buffer.freeze())).await;
+        assert_eq!(outcome(&mut link).await.tags(), "E");
+        send(&link, LinkInput::Data(batch("bs_b", "ROWS 1"))).await;
+        assert_eq!(outcome(&mut link).await.tags(), "12DC");
+        assert_eq!(fake.count("parse bs_b"), 1);
+    });
+}
+
+// Guards against a slot that an open transaction keeps between its statements, and against
+// statements of two callers on one connection.
+#[test]
+fn idle_transactions_hold_a_connection_but_no_slot() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut open = Vec::new();
+        for _ in 0..5 {
+            let mut link = host.handle.open(write("p"));
+            let answer = step(&mut link, "BEGIN").await;
+            assert!(
+                matches!(answer, Outcome::Ready { status: TransactionStatus::InTransaction, .. }),
+                "{answer:?}"
+            );
+            open.push(link);
+        }
+        // All three slots would be taken if the five transactions held them.
+        assert_eq!(once(&host.handle, read("p"), "ROWS 1").await.tags(), "TDC");
+        for link in &mut open {
+            assert_eq!(step(link, "INSERT").await.tags(), "C");
+            assert_eq!(step(link, "COMMIT").await.tags(), "C");
+        }
+        assert_eq!(fake.lock().offset, 15);
+        assert!(fake.lock().most_running <= 3);
+    });
+}
+
+// Guards against a connection inside a transaction, or with a session's settings, that serves the
+// next caller.
+#[test]
+fn only_clean_connections_are_reused() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut link = host.handle.open(write("p"));
+        step(&mut link, "BEGIN").await;
+        let open = fake.lock().open;
+        drop(link);
+        for _ in 0..50 {
+            sleep(Duration::from_millis(10)).await;
+            if fake.lock().started > open {
+                break;
+            }
+        }
+        assert!(fake.lock().started > open, "the connection was kept");
+        let mut link = host.handle.open(write("p"));
+        step(&mut link, "SET").await;
+        send(&link, LinkInput::Taint).await;
+        send(&link, LinkInput::Release).await;
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(fake.count("DISCARD ALL"), 1);
+    });
+}
+
+// Guards against more statements at a time than the target has slots, and against requests that
+// run after their deadline in the queue.
+#[test]
+fn slots_bound_the_running_statements() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut tasks = Vec::new();
+        for _ in 0..6 {
+            let handle = host.handle.clone();
+            tasks.push(tokio::spawn(async move { once(&handle, read("p"), "SLEEP 200").await }));
+        }
+        sleep(Duration::from_millis(50)).await;
+        let mut late = read("p");
+        late.deadline = Micros::from_millis(60);
+        late.estimate = Some(Micros(1));
+        let begun = Instant::now();
+        let refused = once(&host.handle, late, "ROWS 77").await;
+        assert!(
+            matches!(
+                refused,
+                Outcome::Refused(FailureKind::QueueTimeout | FailureKind::Overloaded)
+            ),
+            "{refused:?}"
+        );
+        assert!(begun.elapsed() < Duration::from_millis(150));
+        for task in tasks {
+            assert_eq!(task.await.unwrap().tags(), "C");
+        }
+        assert_eq!(fake.lock().most_running, 3);
+        assert_eq!(fake.count("ROWS 77"), 0);
+    });
+}
+
+// Guards against a cancel that hits the next caller's statement, and against a caller who waits
+// for a target that ignores cancels.
+#[test]
+fn cancels_and_run_deadlines_end_statements() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut link = host.handle.open(write("p"));
+        send(&link, LinkInput::Data(broker_support::query("SLEEP 5000"))).await;
+        sleep(Duration::from_millis(50)).await;
+        send(&link, LinkInput::Cancel).await;
+        assert_eq!(outcome(&mut link).await.tags(), "E");
+        drop(link);
+        let mut short = write("p");
+        short.deadline = Micros::from_millis(100);
+        let confirmed = once(&host.handle, short.clone(), "SLEEP 5000").await;
+        assert_eq!(confirmed.tags(), "E", "the target confirmed the cancel");
+        fake.lock().ignores_cancel = true;
+        let begun = Instant::now();
+        let lost = once(&host.handle, short, "SLEEP 1500").await;
+        assert_eq!(lost, Outcome::Lost(FailureKind::RunTimeout));
+        assert!(begun.elapsed() < Duration::from_millis(1_300));
+        for _ in 0..20 {
+            assert_eq!(once(&host.handle, read("p"), "ROWS 1").await.tags(), "TDC");
+        }
+    });
+}
+
+// Guards against a broken connection that is reported as a refusal after something was sent.
+#[test]
+fn a_dying_connection_loses_the_statement() {
+    run(async {
+        let (host, _fake) = primary().await;
+        let lost = once(&host.handle, write("p"), "DIE").await;
+        assert_eq!(lost, Outcome::Lost(FailureKind::ConnectionLost));
+        assert_eq!(once(&host.handle, read("p"), "ROWS 1").await.tags(), "TDC");
+    });
+}
--- /dev/null
+++ b/crates/entry/tests/broker_support/fake.rs
@@ -0,0 +1,357 @@
+//! Scripted target: answers a few fixed statements and records what it received.
+
+use {
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+        time::sleep,
+    },
+};
+
+#[derive(Default)]
+pub struct FakeState {
+    pub role: &'static str,
+    pub term: u64,
+    pub offset: u64,
+    pub age_ms: u64,
+    /// Statements and Parse messages in the order of arrival, without probes.
+    pub log: Vec<String>,
+    /// Start-ups, without those of probes and cancels being told apart.
+    pub started: u32,
+    pub open: u32,
+    /// New connections and probes get no answer.
+    pub silent: bool,
+    /// Connections that get no answer any more.
+    pub mute: BTreeSet<i32>,
+    /// Statements that run at the moment, and their largest number.
+    pub running: u32,
+    pub most_running: u32,
+    /// Cancels are ignored.
+    pub ignores_cancel: bool,
+    cancels: BTreeMap<i32, Arc<Notify>>,
+}
+
+#[derive(Clone)]
+pub struct FakeTarget {
+    pub address: String,
+    state: Arc<Mutex<FakeState>>,
+}
+
+impl FakeTarget {
+    pub async fn start(role: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let state = FakeState { role, term: 1, offset: 10, ..FakeState::default() };
+        let fake = Self { address, state: Arc::new(Mutex::new(state)) };
+        let served = fake.clone();
+        tokio::spawn(async move {
+            let mut next = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                next += 1;
+                let _ = stream.set_nodelay(true);
+                let session = FakeSession::new(served.clone(), stream, next);
+                tokio::spawn(async move {
+                    let fake = session.fake.clone();
+                    let mut session = session;
+                    let _ = session.serve().await;
+                    if session.counted {
+                        fake.lock().open -= 1;
+                    }
+                });
+            }
+        });
+        fake
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, FakeState> {
+        self.state.lock().unwrap()
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.lock().log.clone()
+    }
+
+    pub fn count(&self, text: &str) -> usize {
+        self.lock().log.iter().filter(|line| line.as_str() == text).count()
+    }
+}
+
+struct FakeSession {
+    fake: FakeTarget,
+    stream: TcpStream,
+    number: i32,
+    counted: bool,
+    statements: BTreeMap<String, String>,
+    bound: String,
+    status: u8,
+    wrote: bool,
+    failed: bool,
+    seen: u64,
+    out: Vec<u8>,
+}
+
+impl FakeSession {
+    fn new(fake: FakeTarget, stream: TcpStream, number: i32) -> Self {
+        Self {
+            fake,
+            stream,
+            number,
+            counted: false,
+            statements: BTreeMap::new(),
+            bound: String::new(),
+            status: b'I',
+            wrote: false,
+            failed: false,
+            seen: 0,
+            out: Vec::new(),
+        }
+    }
+
+    async fn serve(&mut self) -> std::io::Result<()> {
+        let length = self.stream.read_u32().await? as usize;
+        let mut body = vec![0; length - 4];
+        self.stream.read_exact(&mut body).await?;
+        let code = i32::from_be_bytes(body[..4].try_into().unwrap());
+        if code == 80_877_102 {
+            let process = i32::from_be_bytes(body[4..8].try_into().unwrap());
+            let state = self.fake.lock();
+            if let Some(cancel) = state.cancels.get(&process)
+                && !state.ignores_cancel
+            {
+                cancel.notify_one();
+            }
+            return Ok(());
+        }
+        let cancel = Arc::new(Notify::new());
+        {
+            let mut state = self.fake.lock();
+            state.started += 1;
+            state.open += 1;
+            self.counted = true;
+            state.cancels.insert(self.number, Arc::clone(&cancel));
+        }
+        self.hang_if_silent(false).await;
+        self.message(b'R', &0_i32.to_be_bytes());
+        let mut key = self.number.to_be_bytes().to_vec();
+        key.extend_from_slice(&99_i32.to_be_bytes());
+        self.message(b'K', &key);
+        self.ready();
+        self.flush().await?;
+        loop {
+            let tag = self.stream.read_u8().await?;
+            let length = self.stream.read_u32().await? as usize;
+            let mut body = vec![0; length - 4];
+            self.stream.read_exact(&mut body).await?;
+            let mute = self.fake.lock().mute.contains(&self.number);
+            self.hang_if_silent(mute).await;
+            self.take(tag, &body, &cancel).await;
+            if matches!(tag, b'Q' | b'S' | b'H') {
+                self.flush().await?;
+            }
+        }
+    }
+
+    async fn hang_if_silent(&self, mute: bool) {
+        if mute || self.fake.lock().silent {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn take(&mut self, tag: u8, body: &[u8], cancel: &Notify) {
+        if self.failed && tag != b'S' {
+            return;
+        }
+        match tag {
+            b'Q' => {
+                let sql = text(body).to_owned();
+                self.run(&sql, true, cancel).await;
+                self.ready();
+            }
+            b'P' => {
+                let name = text(body).to_owned();
+                let sql = text(&body[name.len() + 1..]).to_owned();
+                self.fake.lock().log.push(format!("parse {name}"));
+                if sql == "BAD" {
+                    self.fail("42601", "ERROR");
+                } else if self.statements.contains_key(&name) && !name.is_empty() {
+                    self.fail("42P05", "ERROR");
+                } else {
+                    self.statements.insert(name, sql);
+                    self.message(b'1', &[]);
+                }
+            }
+            b'B' => {
+                let name = text(&body[1..]).to_owned();
+                match self.statements.get(&name) {
+                    Some(sql) => {
+                        self.bound = sql.clone();
+                        self.message(b'2', &[]);
+                    }
+                    None => self.fail("26000", "ERROR"),
+                }
+            }
+            b'C' => {
+                self.statements.remove(text(&body[1..]));
+                self.message(b'3', &[]);
+            }
+            b'E' => {
+                let sql = self.bound.clone();
+                self.run(&sql, false, cancel).await;
+            }
+            b'S' => {
+                self.failed = false;
+                self.ready();
+            }
+            _ => {}
+        }
+    }
+
+    async fn run(&mut self, sql: &str, simple: bool, cancel: &Notify) {
+        if sql.contains("group_status") {
+            self.group_status();
+            return;
+        }
+        {
+            let mut state = self.fake.lock();
+            state.log.push(sql.to_owned());
+            state.running += 1;
+            state.most_running = state.most_running.max(state.running);
+        }
+        let (word, rest) = sql.split_once(' ').unwrap_or((sql, ""));
+        let count: u64 = rest.parse().unwrap_or(0);
+        match word {
+            "BEGIN" => {
+                self.status = b'T';
+                self.complete("BEGIN");
+            }
+            "COMMIT" | "ROLLBACK" => {
+                if word == "COMMIT" && self.wrote {
+                    self.fake.lock().offset += 1;
+                }
+                self.wrote = false;
+                self.status = b'I';
+                self.complete(word);
+            }
+            "INSERT" => {
+                if self.status == b'I' {
+                    self.fake.lock().offset += 1;
+                } else {
+                    self.wrote = true;
+                }
+                self.complete("INSERT 0 1");
+            }
+            "SLEEP" => {
+                tokio::select! {
+                    () = sleep(Duration::from_millis(count)) => self.complete("SELECT 1"),
+                    () = cancel.notified() => self.fail("57014", "ERROR"),
+                }
+            }
+            "ROWS" => {
+                if simple {
+                    self.message(b'T', &[0, 0]);
+                }
+                for _ in 0..count {
+                    self.message(b'D', &[0, 1, 0, 0, 0, 4, b'r', b'o', b'w', b'!']);
+                }
+                self.complete("SELECT 1");
+            }
+            "BAD" => self.fail("42601", "ERROR"),
+            "DIE" => self.fail("57P01", "FATAL"),
+            "SELECT" => {
+                self.group_order(rest);
+                self.complete("SELECT 1");
+            }
+            _ => self.complete(sql),
+        }
+        if simple {
+            self.failed = false;
+        }
+        self.fake.lock().running -= 1;
+    }
+
+    fn group_order(&self, call: &str) {
+        let digits: String = call.chars().filter(char::is_ascii_digit).take(1).collect();
+        let mut state = self.fake.lock();
+        if call.starts_with("group_promote") {
+            state.role = "primary";
+            state.term = digits.parse().unwrap();
+            state.offset += 1;
+        } else if call.starts_with("group_follow") {
+            state.role = "replica";
+            state.term = digits.parse().unwrap();
+        }
+    }
+
+    fn group_status(&mut self) {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let values = {
+            let state = self.fake.lock();
+            [
+                state.role.to_owned(),
+                state.term.to_string(),
+                format!("{}:{}", state.term, state.offset),
+                (u64::try_from(now.as_millis()).unwrap() - state.age_ms).to_string(),
+            ]
+        };
+        let mut description = vec![0, 4];
+        for name in ["role", "term", "position", "replayed_at_ms"] {
+            description.extend_from_slice(name.as_bytes());
+            description.extend_from_slice(&[0; 19]);
+        }
+        self.message(b'T', &description);
+        let mut row = vec![0, 4];
+        for value in &values {
+            row.extend_from_slice(&u32::try_from(value.len()).unwrap().to_be_bytes());
+            row.extend_from_slice(value.as_bytes());
+        }
+        self.message(b'D', &row);
+        self.complete("SELECT 1");
+    }
+
+    fn message(&mut self, tag: u8, body: &[u8]) {
+        self.out.push(tag);
+        self.out.extend_from_slice(&u32::try_from(body.len() + 4).unwrap().to_be_bytes());
+        self.out.extend_from_slice(body);
+    }
+
+    fn complete(&mut self, tag: &str) {
+        self.message(b'C', format!("{tag}\0").as_bytes());
+    }
+
+    fn fail(&mut self, code: &str, severity: &str) {
+        self.failed = true;
+        if self.status == b'T' {
+            self.status = b'E';
+        }
+        self.message(b'E', format!("S{severity}\0V{severity}\0C{code}\0Mfake\0\0").as_bytes());
+    }
+
+    fn ready(&mut self) {
+        let (term, offset) = {
+            let state = self.fake.lock();
+            (state.term, state.offset)
+        };
+        if offset != self.seen {
+            self.seen = offset;
+            let body = format!("group_position\0{term}:{offset}\0");
+            self.message(b'S', body.as_bytes());
+        }
+        self.message(b'Z', &[self.status]);
+    }
+
+    async fn flush(&mut self) -> std::io::Result<()> {
+        let out = std::mem::take(&mut self.out);
+        self.stream.write_all(&out).await
+    }
+}
+
+fn text(body: &[u8]) -> &str {
+    let end = body.iter().position(|byte| *byte == 0).unwrap();
+    std::str::from_utf8(&body[..end]).unwrap()
+}
