--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod collections;
 pub mod event;
 pub mod failure;
+pub mod floor;
 pub mod machine;
 pub mod names;
 pub mod position;
 pub mod route;
 pub mod sheet;
+pub mod statement;
 pub mod time;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,5 +1,9 @@
 //! Routes: which targets exist, who brokers them and which of them may serve a request.
 
+mod choice;
+
+pub use choice::{ChoiceQuery, FailedTry, choose_target};
+
 use {
     crate::{
         collections::FastMap,
--- /dev/null
+++ b/crates/core/src/statement/mod.rs
@@ -0,0 +1,287 @@
+//! Classification of statements: reads, writes, transaction control and session state.
+//!
+//! The classification is conservative. Whatever is not known to be a read is a write that may not be
+//! repeated: unparsable text, functions that are not on the list of pure built-ins, locking reads.
+
+mod cache;
+mod pure;
+mod reads;
+mod tokens;
+
+pub use cache::ProfileCache;
+
+use {
+    crate::names::SharedName,
+    sqlparser::{
+        ast::{
+            ContextModifier, DiscardObject, ObjectName, Set, Statement, TransactionAccessMode,
+            TransactionMode,
+        },
+        dialect::PostgreSqlDialect,
+        parser::Parser,
+    },
+};
+
+/// Tokens above which a text is not parsed.
+///
+/// A chain of operators becomes a tree as deep as the chain is long, and walking and dropping the
+/// tree recurse. This bound keeps the deepest tree within a 2 MiB stack in a debug build.
+pub const TOKEN_LIMIT: usize = 2_000;
+
+/// Nesting above which the parser gives up.
+const NESTING_LIMIT: usize = 50;
+
+/// What a statement does, as far as routing is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatementAction {
+    /// No statement at all.
+    Empty,
+    /// Known to change nothing; may be repeated.
+    Read,
+    /// Not known to be a read.
+    Write,
+    /// Starts a transaction.
+    Begin {
+        /// Whether it declares the transaction READ ONLY.
+        read_only: bool,
+    },
+    /// Commits without a chained transaction.
+    Commit,
+    /// Rolls back without a chained transaction.
+    Rollback,
+    /// Sets, releases or rolls back to a savepoint.
+    Savepoint,
+    /// Sets one session setting.
+    Setting {
+        /// Name of the setting in lower case.
+        name: String,
+        /// Value as text without quotes.
+        value: String,
+    },
+    /// Resets settings to their defaults.
+    Reset,
+    /// `DISCARD ALL`.
+    DiscardAll,
+    /// `DEALLOCATE ALL`.
+    DeallocateAll,
+}
+
+/// Classification of one text, which may hold several statements.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementProfile {
+    /// What the statement does; several statements are a read or a write as a whole.
+    pub action: StatementAction,
+    /// Kind named by a `/* kind=NAME */` tag.
+    pub kind: Option<SharedName>,
+    /// Hash of the text without literals, comments and white space.
+    pub fingerprint: u64,
+    /// Number of statements; 1 for text that cannot be parsed.
+    pub statements: usize,
+    /// Whether it leaves state on the connection that later statements of the session need.
+    pub pins: bool,
+    /// Whether it may leave state on the connection that other sessions must not see.
+    pub taints: bool,
+    /// Whether it may end the transaction it runs in.
+    pub ends_transaction: bool,
+}
+
+impl StatementProfile {
+    /// Classifies a text.
+    #[must_use]
+    pub fn classify(text: &str) -> Self {
+        let Some(scan) = tokens::scan(text) else {
+            return Self::unknown(None, tokens::raw_fingerprint(text), true);
+        };
+        let kind = scan.kind;
+        let fingerprint = scan.fingerprint;
+        if scan.words.is_empty() && scan.tokens.len() < TOKEN_LIMIT && scan.blank {
+            return Self { action: StatementAction::Empty, ..Self::known(kind, fingerprint, 0) };
+        }
+        let state = tokens::mentions_session_state(&scan.words);
+        if scan.tokens.len() > TOKEN_LIMIT {
+            return Self::unknown(kind, fingerprint, state);
+        }
+        let parsed = Parser::new(&PostgreSqlDialect {})
+            .with_recursion_limit(NESTING_LIMIT)
+            .with_tokens_with_locations(scan.tokens)
+            .parse_statements();
+        let Ok(statements) = parsed else { return Self::unknown(kind, fingerprint, state) };
+        let mut profile = Self::known(kind, fingerprint, statements.len());
+        let [statement] = statements.as_slice() else {
+            profile.merge(&statements, state);
+            return profile;
+        };
+        profile.apply(statement);
+        profile
+    }
+
+    /// Returns whether the text is known to change nothing.
+    #[must_use]
+    pub const fn is_read(&self) -> bool {
+        matches!(self.action, StatementAction::Read | StatementAction::Empty)
+    }
+
+    const fn known(kind: Option<SharedName>, fingerprint: u64, statements: usize) -> Self {
+        Self {
+            action: StatementAction::Write,
+            kind,
+            fingerprint,
+            statements,
+            pins: false,
+            taints: false,
+            ends_transaction: false,
+        }
+    }
+
+    fn unknown(kind: Option<SharedName>, fingerprint: u64, pins: bool) -> Self {
+        Self { pins, taints: true, ends_transaction: true, ..Self::known(kind, fingerprint, 1) }
+    }
+
+    fn apply(&mut self, statement: &Statement) {
+        let (action, effect) = inspect(statement);
+        self.action = action;
+        self.pins = effect.pins;
+        self.taints = effect.pins || effect.taints;
+        self.ends_transaction = effect.ends;
+    }
+
+    /// Combines several statements; `state` says that a word in the text hints at session state.
+    fn merge(&mut self, statements: &[Statement], state: bool) {
+        let mut all_reads = true;
+        for statement in statements {
+            let (action, effect) = inspect(statement);
+            all_reads &= action == StatementAction::Read;
+            let setting = matches!(
+                action,
+                StatementAction::Setting { .. }
+                    | StatementAction::DiscardAll
+                    | StatementAction::DeallocateAll
+            );
+            self.pins |= effect.pins || setting;
+            self.taints |= effect.taints;
+            self.ends_transaction |= effect.ends;
+        }
+        self.pins |= state && !all_reads;
+        self.taints |= self.pins;
+        self.action = if all_reads { StatementAction::Read } else { StatementAction::Write };
+    }
+}
+
+/// Side effects that matter to the connection rather than to the data.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConnectionEffect {
+    pins: bool,
+    taints: bool,
+    ends: bool,
+}
+
+impl ConnectionEffect {
+    const NONE: Self = Self { pins: false, taints: false, ends: false };
+    const PINS: Self = Self { pins: true, taints: true, ends: false };
+    const TAINTS: Self = Self { pins: false, taints: true, ends: true };
+    const ENDS: Self = Self { pins: false, taints: false, ends: true };
+}
+
+fn inspect(statement: &Statement) -> (StatementAction, ConnectionEffect) {
+    use StatementAction as Action;
+    match statement {
+        Statement::StartTransaction {
+            modes, modifier: None, statements, exception: None, ..
+        } if statements.is_empty() => {
+            (Action::Begin { read_only: is_read_only(modes) }, ConnectionEffect::ENDS)
+        }
+        Statement::Commit { chain: false, modifier: None, .. } => {
+            (Action::Commit, ConnectionEffect::ENDS)
+        }
+        Statement::Rollback { savepoint: Some(_), chain: false }
+        | Statement::Savepoint { .. }
+        | Statement::ReleaseSavepoint { .. } => (Action::Savepoint, ConnectionEffect::NONE),
+        Statement::Rollback { chain: false, savepoint: None } => {
+            (Action::Rollback, ConnectionEffect::ENDS)
+        }
+        Statement::Commit { .. }
+        | Statement::Rollback { .. }
+        | Statement::StartTransaction { .. }
+        | Statement::Call(_) => (Action::Write, ConnectionEffect::TAINTS),
+        Statement::Set(set) => inspect_set(set),
+        Statement::Reset(_) => (Action::Reset, ConnectionEffect::NONE),
+        Statement::Discard { object_type: DiscardObject::ALL } => {
+            (Action::DiscardAll, ConnectionEffect::NONE)
+        }
+        Statement::Deallocate { name, .. } if name.value.eq_ignore_ascii_case("all") => {
+            (Action::DeallocateAll, ConnectionEffect::NONE)
+        }
+        Statement::Discard { .. }
+        | Statement::LISTEN { .. }
+        | Statement::UNLISTEN { .. }
+        | Statement::Prepare { .. }
+        | Statement::Deallocate { .. }
+        | Statement::Execute { .. }
+        | Statement::Load { .. } => (Action::Write, ConnectionEffect::PINS),
+        Statement::CreateTable(table) if table.temporary => (Action::Write, ConnectionEffect::PINS),
+        Statement::CreateView(view) if view.temporary => (Action::Write, ConnectionEffect::PINS),
+        Statement::CreateSequence { temporary: true, .. } => {
+            (Action::Write, ConnectionEffect::PINS)
+        }
+        Statement::Declare { stmts, .. }
+            if stmts.iter().any(|declare| declare.hold == Some(true)) =>
+        {
+            (Action::Write, ConnectionEffect::PINS)
+        }
+        _ => reads::inspect_data(statement),
+    }
+}
+
+fn inspect_set(set: &Set) -> (StatementAction, ConnectionEffect) {
+    match set {
+        // These last to the end of the transaction at most and change no data.
+        Set::SingleAssignment { scope: Some(ContextModifier::Local), .. }
+        | Set::SetRole { context_modifier: Some(ContextModifier::Local), .. }
+        | Set::SetTimeZone { local: true, .. }
+        | Set::SetTransaction { session: false, .. } => {
+            (StatementAction::Read, ConnectionEffect::NONE)
+        }
+        Set::SingleAssignment { variable, values, .. } => {
+            let mut text = String::new();
+            for value in values {
+                if !text.is_empty() {
+                    text.push(',');
+                }
+                text.push_str(value.to_string().trim_matches(|quote| matches!(quote, '\'' | '"')));
+            }
+            let name = setting_name(variable);
+            (StatementAction::Setting { name, value: text }, ConnectionEffect::NONE)
+        }
+        Set::SetNames { charset_name, .. } => {
+            let name = "client_encoding".to_owned();
+            let value = charset_name.value.trim_matches('\'').to_owned();
+            (StatementAction::Setting { name, value }, ConnectionEffect::NONE)
+        }
+        _ => (StatementAction::Write, ConnectionEffect::PINS),
+    }
+}
+
+fn setting_name(name: &ObjectName) -> String {
+    let mut text = String::new();
+    for part in &name.0 {
+        if !text.is_empty() {
+            text.push('.');
+        }
+        match part.as_ident() {
+            Some(ident) => text.push_str(&ident.value),
+            None => text.push_str(&part.to_string()),
+        }
+    }
+    text.make_ascii_lowercase();
+    text
+}
+
+fn is_read_only(modes: &[TransactionMode]) -> bool {
+    let mut read_only = false;
+    for mode in modes {
+        if let TransactionMode::AccessMode(access) = mode {
+            read_only = *access == TransactionAccessMode::ReadOnly;
+        }
+    }
+    read_only
+}
--- /dev/null
+++ b/crates/core/src/statement/tokens.rs
@@ -0,0 +1,124 @@
+//! What the tokens of a text tell: kind tag, fingerprint, words that hint at session state.
+
+use {
+    crate::names::SharedName,
+    foldhash::fast::FixedState,
+    sqlparser::{
+        dialect::PostgreSqlDialect,
+        tokenizer::{Token, TokenWithSpan, Tokenizer, Whitespace},
+    },
+    std::hash::{BuildHasher, Hasher},
+};
+
+/// Seed of fingerprints; every host must compute the same ones.
+const FINGERPRINT_SEED: u64 = 0x6261_6e79_616e;
+
+/// Longest kind name that a tag may hold.
+const KIND_LIMIT: usize = 64;
+
+/// Words that hint at state that outlives a transaction, for text that cannot be parsed.
+const STATE_WORDS: [&str; 12] = [
+    "declare",
+    "discard",
+    "execute",
+    "hold",
+    "listen",
+    "load",
+    "prepare",
+    "reset",
+    "set_config",
+    "temp",
+    "temporary",
+    "unlisten",
+];
+
+pub(super) struct TokenScan {
+    pub(super) tokens: Vec<TokenWithSpan>,
+    pub(super) words: Vec<String>,
+    pub(super) blank: bool,
+    pub(super) kind: Option<SharedName>,
+    pub(super) fingerprint: u64,
+}
+
+/// Splits a text into tokens, or returns `None` if it is not well-formed.
+pub(super) fn scan(text: &str) -> Option<TokenScan> {
+    let tokens = Tokenizer::new(&PostgreSqlDialect {}, text).tokenize_with_location().ok()?;
+    let mut hasher = FixedState::with_seed(FINGERPRINT_SEED).build_hasher();
+    let mut words = Vec::new();
+    let mut blank = true;
+    let mut kind = None;
+    let mut after_literal = false;
+    for token in &tokens {
+        match &token.token {
+            Token::Whitespace(Whitespace::MultiLineComment(comment)) => {
+                if kind.is_none() {
+                    kind = kind_tag(comment);
+                }
+            }
+            Token::Whitespace(_) | Token::EOF | Token::SemiColon => {}
+            Token::Word(word) => {
+                blank = false;
+                after_literal = false;
+                let mut name = word.value.clone();
+                if word.quote_style.is_none() {
+                    name.make_ascii_lowercase();
+                }
+                hasher.write(name.as_bytes());
+                hasher.write_u8(0);
+                words.push(name);
+            }
+            // Lists of literals of any length have the same fingerprint.
+            Token::Comma if after_literal => {}
+            token if is_literal(token) => {
+                blank = false;
+                if !after_literal {
+                    hasher.write_u8(b'?');
+                }
+                after_literal = true;
+            }
+            token => {
+                blank = false;
+                after_literal = false;
+                hasher.write(token.to_string().as_bytes());
+                hasher.write_u8(0);
+            }
+        }
+    }
+    Some(TokenScan { words, blank, kind, fingerprint: hasher.finish(), tokens })
+}
+
+/// Returns a fingerprint of text that has no tokens.
+pub(super) fn raw_fingerprint(text: &str) -> u64 {
+    FixedState::with_seed(FINGERPRINT_SEED).hash_one(text)
+}
+
+/// Returns whether a word hints at state that outlives a transaction.
+pub(super) fn mentions_session_state(words: &[String]) -> bool {
+    if words.first().is_some_and(|word| word == "set") {
+        return true;
+    }
+    words
+        .iter()
+        .any(|word| STATE_WORDS.contains(&word.as_str()) || super::pure::is_session_function(word))
+}
+
+const fn is_literal(token: &Token) -> bool {
+    matches!(
+        token,
+        Token::Number(..)
+            | Token::SingleQuotedString(_)
+            | Token::DollarQuotedString(_)
+            | Token::SingleQuotedByteStringLiteral(_)
+            | Token::NationalStringLiteral(_)
+            | Token::EscapedStringLiteral(_)
+            | Token::UnicodeStringLiteral(_)
+            | Token::HexStringLiteral(_)
+    )
+}
+
+fn kind_tag(comment: &str) -> Option<SharedName> {
+    let name = comment.trim().strip_prefix("kind=")?.trim();
+    let valid = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    let fits = !name.is_empty() && name.len() <= KIND_LIMIT && name.bytes().all(valid);
+    fits.then(|| SharedName::from(name))
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod lease;
 pub mod link;
+pub mod session;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -61,7 +61,12 @@
 #[derive(Clone, Debug)]
 pub enum LinkInput {
     /// Whole PostgreSQL frontend messages.
+    ///
+    /// The session sends the first ones without waiting for `Granted`, which saves a round trip
+    /// during which the slot would be idle; they are sent to the target once the grant holds.
     Data(Bytes),
+    /// The grant's connection carries state that outlives a transaction; it is reset before reuse.
+    Taint,
     /// Cancels the statement that runs or waits.
     Cancel,
     /// Ends the grant; a connection in an idle state becomes free for others.
--- /dev/null
+++ b/crates/entry/src/session/connection.rs
@@ -0,0 +1,394 @@
+//! One caller's connection: reading messages, waiting, and the order of a session's requests.
+
+use {
+    super::{
+        EntryShared, WorkerState, answer,
+        exchange::HeldGrant,
+        frame::{CallerFrame, FrameCodec, split_text},
+        local::LocalReply,
+        prepared::{CallerBatch, StatementStore},
+        registry::CallerTicket,
+        request::{CallerRequest, RequestSummary},
+        startup::{self, CallerIdentity},
+    },
+    crate::link::{GrantRouter, LinkOutput, TransactionStatus},
+    banyansill_core::{failure::FailureKind, floor::SessionFloor, time::Micros},
+    bytes::{BufMut, Bytes, BytesMut},
+    ntex::{io::Io, util::Either},
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
+};
+
+/// Bytes of a batch above which it is sent to the target before its Sync has come.
+const BATCH_LIMIT: usize = 1 << 20;
+
+/// Why a session ends.
+#[derive(Debug)]
+pub(super) enum SessionEnd {
+    /// The caller closed the connection, or it broke.
+    Closed,
+    /// The caller stopped in the middle of a message or did not read its answers.
+    Stalled,
+    /// The caller is told of a failure and closed.
+    Failure(FailureKind, &'static str),
+}
+
+/// The caller's socket.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    pub(super) io: Io,
+    pub(super) codec: FrameCodec,
+    stall: Duration,
+}
+
+impl CallerStream {
+    /// Returns the next message, or `None` when the caller has closed the connection.
+    ///
+    /// A caller may be idle for as long as it likes between messages, but not inside one. Dropping
+    /// the future loses nothing.
+    pub(super) async fn next(&self) -> Result<Option<CallerFrame>, SessionEnd> {
+        let mut seen = 0;
+        loop {
+            match timeout(self.stall, self.io.recv(&self.codec)).await {
+                Ok(Ok(frame)) => return Ok(frame),
+                Ok(Err(Either::Left(error))) => {
+                    log::debug!("malformed message: {error}");
+                    return Err(SessionEnd::Failure(
+                        FailureKind::ProtocolViolation,
+                        "message length",
+                    ));
+                }
+                Ok(Err(Either::Right(_))) => return Err(SessionEnd::Closed),
+                Err(_) => {
+                    let waiting = self.codec.waiting();
+                    if waiting > 0 && waiting == seen {
+                        return Err(SessionEnd::Stalled);
+                    }
+                    seen = waiting;
+                }
+            }
+        }
+    }
+
+    /// Appends bytes to what the caller is sent.
+    pub(super) fn put(&self, bytes: &[u8]) -> Result<(), SessionEnd> {
+        self.io.encode_slice(bytes).map_err(|_| SessionEnd::Closed)
+    }
+
+    /// Waits until little enough is unsent; ends the session if the caller does not read.
+    pub(super) async fn relieve(&self) -> Result<(), SessionEnd> {
+        match timeout(self.stall, self.io.flush(false)).await {
+            Ok(result) => result.map_err(|_| SessionEnd::Closed),
+            Err(_) => Err(SessionEnd::Stalled),
+        }
+    }
+}
+
+/// Where a session is with respect to transactions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum TransactionState {
+    /// Outside a transaction.
+    Idle,
+    /// BEGIN was answered by the proxy and not sent yet.
+    Held {
+        /// The Query message with the caller's BEGIN.
+        begin: Bytes,
+        /// Whether it declares the transaction READ ONLY.
+        read_only: bool,
+    },
+    /// A target runs the transaction on the session's grant.
+    Open,
+    /// The transaction is lost; everything is refused until the caller ends it.
+    Broken {
+        /// Whether the caller still has to be told.
+        untold: bool,
+    },
+}
+
+/// State of one caller's session.
+#[derive(Debug)]
+pub(super) struct CallerSession<R> {
+    pub(super) stream: CallerStream,
+    pub(super) shared: Arc<EntryShared<R>>,
+    pub(super) worker: Rc<WorkerState>,
+    pub(super) identity: CallerIdentity,
+    pub(super) ticket: CallerTicket,
+    pub(super) store: StatementStore,
+    pub(super) batch: CallerBatch,
+    pub(super) floor: SessionFloor,
+    pub(super) state: TransactionState,
+    pub(super) grant: Option<HeldGrant>,
+    /// Messages are dropped up to the next Sync, as after any error in the extended protocol.
+    pub(super) skipping: bool,
+    /// The Sync of the running exchange was seen.
+    pub(super) sync_seen: bool,
+    draining: watch::Receiver<bool>,
+}
+
+/// Serves one connection to its end.
+pub(super) async fn serve<R>(io: Io, shared: Arc<EntryShared<R>>, worker: Rc<WorkerState>)
+where
+    R: GrantRouter,
+{
+    let mut ticket = shared.registry.enter();
+    if shared.registry.open() > shared.settings.max_callers + super::REFUSAL_MARGIN {
+        return;
+    }
+    let codec = FrameCodec::new(shared.settings.startup_limit);
+    let stall = shared.settings.stall_timeout;
+    let stream = CallerStream { io, codec, stall };
+    let draining = shared.registry.draining();
+    let started = startup::start(&stream, &shared, &mut ticket);
+    let started = match timeout(shared.settings.startup_timeout, started).await {
+        Ok(started) => started,
+        Err(_) => Err(SessionEnd::Stalled),
+    };
+    let end = match started {
+        Ok(None) => SessionEnd::Closed,
+        Err(end) => end,
+        Ok(Some(identity)) => {
+            let mut session = CallerSession {
+                stream,
+                shared,
+                worker,
+                identity,
+                ticket,
+                store: StatementStore::default(),
+                batch: CallerBatch::default(),
+                floor: SessionFloor::unknown(),
+                state: TransactionState::Idle,
+                grant: None,
+                skipping: false,
+                sync_seen: true,
+                draining,
+            };
+            let end = session.run().await;
+            finish(&session.stream, end).await;
+            return;
+        }
+    };
+    finish(&stream, end).await;
+}
+
+async fn finish(stream: &CallerStream, end: SessionEnd) {
+    if let SessionEnd::Failure(kind, detail) = end {
+        let mut buffer = BytesMut::new();
+        startup::fatal(&mut buffer, kind, detail);
+        if stream.put(&buffer).is_ok() {
+            let _ = timeout(stream.stall, stream.io.flush(true)).await;
+        }
+    }
+    match end {
+        SessionEnd::Stalled => stream.io.terminate(),
+        SessionEnd::Closed | SessionEnd::Failure(..) => {
+            let _ = timeout(stream.stall, stream.io.shutdown()).await;
+        }
+    }
+}
+
+impl<R> CallerSession<R>
+where
+    R: GrantRouter,
+{
+    async fn run(&mut self) -> SessionEnd {
+        loop {
+            let result = match self.wait().await {
+                Ok(Some(frame)) => self.handle(frame).await,
+                Ok(None) => Ok(()),
+                Err(end) => return end,
+            };
+            if let Err(end) = result {
+                return end;
+            }
+        }
+    }
+
+    /// Waits for the next message; returns `None` after anything else that was dealt with.
+    async fn wait(&mut self) -> Result<Option<CallerFrame>, SessionEnd> {
+        let at_rest = self.state == TransactionState::Idle && self.batch.is_empty();
+        let pinned = self.grant.as_ref().is_some_and(|grant| grant.pinned);
+        let bound = if !self.batch.is_empty() {
+            Some(self.shared.settings.stall_timeout)
+        } else if self.grant.is_some() && !(pinned && at_rest) {
+            Some(self.shared.settings.transaction_timeout)
+        } else {
+            None
+        };
+        let unasked = tokio::select! {
+            biased;
+            frame = self.stream.next() => match frame? {
+                Some(frame) => return Ok(Some(frame)),
+                None => return Err(SessionEnd::Closed),
+            },
+            _ = self.draining.wait_for(|draining| *draining), if at_rest => {
+                return Err(SessionEnd::Failure(FailureKind::Draining, ""));
+            }
+            output = next_output(&mut self.grant), if self.grant.is_some() => output,
+            () = sleep(bound.unwrap_or_default()), if bound.is_some() => {
+                let detail = "idle for too long";
+                return Err(SessionEnd::Failure(FailureKind::TransactionLost, detail));
+            }
+        };
+        self.take_unasked(unasked).await?;
+        Ok(None)
+    }
+
+    /// Deals with what a grant reports while the session waits for its caller.
+    async fn take_unasked(&mut self, output: Option<LinkOutput>) -> Result<(), SessionEnd> {
+        let pinned = self.grant.as_ref().is_some_and(|grant| grant.pinned);
+        match output {
+            // A pinned session may listen for notifications.
+            Some(LinkOutput::Data(data)) if pinned => {
+                let stream = &self.stream;
+                super::filter::pass(&data, &mut self.store, |bytes| stream.put(bytes))?;
+                self.stream.relieve().await
+            }
+            Some(LinkOutput::Granted { .. }) => Ok(()),
+            _ => {
+                self.grant = None;
+                if pinned {
+                    let detail = "the connection that held the session's state is gone";
+                    return Err(SessionEnd::Failure(FailureKind::ConnectionLost, detail));
+                }
+                self.state = TransactionState::Broken { untold: true };
+                Ok(())
+            }
+        }
+    }
+
+    async fn handle(&mut self, frame: CallerFrame) -> Result<(), SessionEnd> {
+        if self.skipping && !matches!(frame.tag, b'S' | b'X') {
+            return Ok(());
+        }
+        match frame.tag {
+            b'Q' => self.query(frame).await,
+            b'P' | b'B' | b'D' | b'E' | b'C' => {
+                let cache = &mut self.worker.cache.borrow_mut();
+                let added = self.batch.add(&frame, &mut self.store, cache);
+                added.ok_or(SessionEnd::Failure(FailureKind::ProtocolViolation, "message body"))?;
+                Ok(())
+            }
+            b'S' => self.finish_batch(true).await,
+            b'H' => self.finish_batch(false).await,
+            b'X' => Err(SessionEnd::Closed),
+            b'F' => {
+                let mut buffer = BytesMut::new();
+                let kind = FailureKind::Unsupported;
+                let severity = answer::ErrorSeverity::Error;
+                answer::failure(&mut buffer, severity, kind, "function call", Micros::ZERO);
+                answer::ready(&mut buffer, self.status());
+                self.reply(&buffer).await
+            }
+            // What a caller had already sent of a COPY that has failed.
+            b'd' | b'c' | b'f' => Ok(()),
+            _ => Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "message type")),
+        }?;
+        if self.batch.output.len() > BATCH_LIMIT {
+            self.finish_batch(false).await?;
+        }
+        Ok(())
+    }
+
+    async fn query(&mut self, frame: CallerFrame) -> Result<(), SessionEnd> {
+        let Some((text, [])) = split_text(frame.body()) else {
+            return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "query text"));
+        };
+        self.store.clear_unnamed();
+        let profile = self.worker.cache.borrow_mut().classify(&String::from_utf8_lossy(text));
+        if !self.batch.is_empty() {
+            self.batch.output.put_slice(&frame.bytes);
+            self.batch.profiles.push(profile);
+            self.batch.messages += 1;
+            return self.send_batch(true).await;
+        }
+        match self.local_reply(&profile, text) {
+            LocalReply::None => {
+                let summary = RequestSummary::of(&profile);
+                self.request(CallerRequest { data: frame.bytes, summary, complete: true }).await
+            }
+            reply => {
+                let mut buffer = BytesMut::new();
+                self.write_local(&mut buffer, &reply);
+                answer::ready(&mut buffer, self.status());
+                self.reply(&buffer).await
+            }
+        }
+    }
+
+    /// Runs what was collected, at a Sync or, without one, at a Flush.
+    async fn finish_batch(&mut self, synced: bool) -> Result<(), SessionEnd> {
+        if self.skipping {
+            if synced {
+                self.skipping = false;
+                let mut buffer = BytesMut::new();
+                answer::ready(&mut buffer, self.status());
+                return self.reply(&buffer).await;
+            }
+            return Ok(());
+        }
+        if self.batch.messages == 0 && (synced || self.batch.closes == 0) {
+            let mut buffer = BytesMut::new();
+            for _ in 0..self.batch.closes {
+                answer::bare(&mut buffer, b'3');
+            }
+            self.batch = CallerBatch::default();
+            if synced {
+                answer::ready(&mut buffer, self.status());
+            }
+            return self.reply(&buffer).await;
+        }
+        if synced && let Some(text) = self.batch.local_candidate() {
+            let profile = self.batch.profiles[0].clone();
+            let reply = self.local_reply(&profile, &text);
+            if reply != LocalReply::None {
+                let mut buffer = BytesMut::new();
+                self.write_local_batch(&mut buffer, &reply);
+                answer::ready(&mut buffer, self.status());
+                self.batch = CallerBatch::default();
+                return self.reply(&buffer).await;
+            }
+        }
+        if synced {
+            answer::bare(&mut self.batch.output, b'S');
+        } else {
+            answer::bare(&mut self.batch.output, b'H');
+        }
+        self.send_batch(synced).await
+    }
+
+    async fn send_batch(&mut self, complete: bool) -> Result<(), SessionEnd> {
+        let batch = std::mem::take(&mut self.batch);
+        let summary = RequestSummary::of_batch(&batch);
+        let data = batch.output.freeze();
+        self.request(CallerRequest { data, summary, complete }).await
+    }
+
+    /// Returns the status byte that ReadyForQuery shows the caller.
+    pub(super) fn status(&self) -> u8 {
+        match &self.state {
+            TransactionState::Idle => answer::STATUS_IDLE,
+            TransactionState::Held { .. } => answer::STATUS_OPEN,
+            TransactionState::Broken { .. } => answer::STATUS_FAILED,
+            TransactionState::Open => match self.grant.as_ref().map(|grant| grant.status) {
+                Some(TransactionStatus::Failed) => answer::STATUS_FAILED,
+                _ => answer::STATUS_OPEN,
+            },
+        }
+    }
+
+    /// Sends the caller bytes that the proxy wrote.
+    pub(super) async fn reply(&self, bytes: &[u8]) -> Result<(), SessionEnd> {
+        self.stream.put(bytes)?;
+        self.stream.relieve().await
+    }
+}
+
+async fn next_output(grant: &mut Option<HeldGrant>) -> Option<LinkOutput> {
+    match grant {
+        Some(grant) => grant.link.output.recv().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/session/exchange.rs
@@ -0,0 +1,410 @@
+//! One request on a grant: choice of the target, sending, streaming of the answer, retries.
+
+use {
+    super::{
+        answer,
+        connection::{CallerSession, SessionEnd, TransactionState},
+        request::{CallerRequest, RequestSummary, strictest_ack},
+    },
+    crate::link::{
+        GrantAccess, GrantLink, GrantRequest, GrantRouter, LinkFailure, LinkInput,
+        TransactionStatus,
+    },
+    banyansill_core::{
+        failure::FailureKind,
+        names::SharedName,
+        route::{ChoiceQuery, FailedTry, RouteTable, choose_target},
+        sheet::{RuleAck, RuleTargets, SheetRule},
+        time::Micros,
+    },
+    bytes::BytesMut,
+    std::{
+        sync::atomic::Ordering,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
+};
+
+/// Longest wait for the primary's position before a read goes to the primary instead.
+const MARK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Tries of one request; a group has a few targets and each is tried once.
+const TRY_LIMIT: usize = 8;
+
+/// A grant that the session holds.
+#[derive(Debug)]
+pub(super) struct HeldGrant {
+    pub(super) link: GrantLink,
+    pub(super) status: TransactionStatus,
+    /// The session keeps the grant to its end.
+    pub(super) pinned: bool,
+    pub(super) server: SharedName,
+    pub(super) epoch: u64,
+    pub(super) access: GrantAccess,
+    pub(super) on_primary: bool,
+    pub(super) tainted: bool,
+    pub(super) deadline: Duration,
+}
+
+/// How an exchange on a grant ended.
+#[derive(Debug)]
+pub(super) enum ExchangeEnd {
+    /// The target is ready for the next request.
+    Ready,
+    /// The broker or the session gave up.
+    Failed {
+        failure: LinkFailure,
+        /// The request was certainly not run.
+        refused: bool,
+        /// Something of the answer has come.
+        answered: bool,
+    },
+}
+
+pub(super) const fn plain(kind: FailureKind) -> LinkFailure {
+    LinkFailure { kind, retry_after: Micros::ZERO, detail: String::new() }
+}
+
+impl<R> CallerSession<R>
+where
+    R: GrantRouter,
+{
+    /// Runs a request and tells the caller of its failure, if any.
+    pub(super) async fn request(&mut self, request: CallerRequest) -> Result<(), SessionEnd> {
+        let complete = request.complete;
+        self.sync_seen = complete;
+        if let TransactionState::Broken { untold } = self.state {
+            let closes = request.summary.closes;
+            self.state = if closes {
+                TransactionState::Idle
+            } else {
+                TransactionState::Broken { untold: false }
+            };
+            if untold {
+                return self.refuse(&plain(FailureKind::TransactionLost), complete).await;
+            }
+            let mut buffer = BytesMut::new();
+            let reply = super::local::LocalReply::Aborted;
+            self.write_local(&mut buffer, &reply);
+            return self.end_refusal(buffer, complete).await;
+        }
+        let result = if self.grant.is_some() {
+            self.continue_grant(&request).await?
+        } else {
+            self.open_grant(&request).await?
+        };
+        match result {
+            Ok(()) => Ok(()),
+            Err(failure) => self.refuse(&failure, self.sync_seen).await,
+        }
+    }
+
+    /// Tells the caller of a failure; the transaction it was in is lost.
+    async fn refuse(&mut self, failure: &LinkFailure, synced: bool) -> Result<(), SessionEnd> {
+        self.shared.counters.failures.fetch_add(1, Ordering::Relaxed);
+        let mut buffer = BytesMut::new();
+        let severity = answer::ErrorSeverity::Error;
+        let LinkFailure { kind, retry_after, detail } = failure;
+        answer::failure(&mut buffer, severity, *kind, detail, *retry_after);
+        self.end_refusal(buffer, synced).await
+    }
+
+    async fn end_refusal(&mut self, mut buffer: BytesMut, synced: bool) -> Result<(), SessionEnd> {
+        self.store.drop_in_flight();
+        self.store.clear_portals();
+        self.batch = super::CallerBatch::default();
+        self.break_transaction();
+        if synced {
+            answer::ready(&mut buffer, self.status());
+        } else {
+            self.skipping = true;
+        }
+        self.reply(&buffer).await
+    }
+
+    /// Runs a request on the grant that the session holds.
+    async fn continue_grant(
+        &mut self,
+        request: &CallerRequest,
+    ) -> Result<Result<(), LinkFailure>, SessionEnd> {
+        let Some(mut grant) = self.grant.take() else {
+            return Ok(Err(plain(FailureKind::TransactionLost)));
+        };
+        if let Err(kind) = self.check_grant(&grant, &request.summary) {
+            // A transaction is rolled back by dropping its grant; a pinned session keeps it.
+            if self.state == TransactionState::Idle {
+                self.grant = Some(grant);
+            }
+            return Ok(Err(plain(kind)));
+        }
+        let in_transaction = self.state == TransactionState::Open;
+        let pinned = grant.pinned;
+        let end = self.exchange(&mut grant, request, false).await?;
+        match end {
+            ExchangeEnd::Ready => {
+                self.keep_grant(grant);
+                Ok(Ok(()))
+            }
+            ExchangeEnd::Failed { failure, refused, .. } => {
+                if pinned {
+                    log::debug!("a pinned session lost its grant: {}", failure.detail);
+                    let detail = "the connection that held the session's state is gone";
+                    return Err(SessionEnd::Failure(failure.kind, detail));
+                }
+                if request.summary.closes {
+                    self.state = TransactionState::Idle;
+                }
+                let before_commit = in_transaction && !refused && !request.summary.ends;
+                let kind = if before_commit { FailureKind::TransactionLost } else { failure.kind };
+                Ok(Err(LinkFailure { kind, ..failure }))
+            }
+        }
+    }
+
+    /// Checks a request against the sheet and the grant that it is to run on.
+    pub(super) fn check_grant(
+        &self,
+        grant: &HeldGrant,
+        summary: &RequestSummary,
+    ) -> Result<(), FailureKind> {
+        if summary.control && summary.closes {
+            return Ok(());
+        }
+        if !self.shared.lease.is_valid() {
+            return Err(FailureKind::NoLease);
+        }
+        if summary.control {
+            return Ok(());
+        }
+        let table = self.shared.routes.borrow().clone();
+        self.rule(&table, summary)?;
+        if grant.access == GrantAccess::Read && !summary.read {
+            return Err(FailureKind::NotAllowed);
+        }
+        Ok(())
+    }
+
+    fn rule(
+        &self,
+        table: &RouteTable,
+        summary: &RequestSummary,
+    ) -> Result<(SharedName, SheetRule), FailureKind> {
+        let sheet = table.sheet.as_ref().ok_or(FailureKind::NoSheet)?;
+        let identity = &self.identity;
+        summary.find_rule(sheet, &identity.database, &identity.application, identity.kind.as_ref())
+    }
+
+    /// Runs a request on a new grant and tries other targets as far as that is safe.
+    async fn open_grant(
+        &mut self,
+        request: &CallerRequest,
+    ) -> Result<Result<(), LinkFailure>, SessionEnd> {
+        let started = Instant::now();
+        let counters = self.shared.counters.clone();
+        counters.requests.fetch_add(1, Ordering::Relaxed);
+        self.worker.earn_retry();
+        let summary = &request.summary;
+        let (begin, write) = match &self.state {
+            TransactionState::Held { begin, read_only } => {
+                (Some(begin.clone()), !(*read_only && summary.read) || summary.pins)
+            }
+            _ => (None, !summary.read || summary.pins),
+        };
+        let mut tries: Vec<FailedTry> = Vec::new();
+        loop {
+            let opened = self.choose(summary, write, begin.is_some(), &tries, started).await;
+            let mut grant = match opened {
+                Ok(grant) => grant,
+                Err(kind) => return Ok(Err(plain(kind))),
+            };
+            let mut begun = true;
+            let end = match &begin {
+                None => self.exchange(&mut grant, request, false).await?,
+                Some(begin) => {
+                    let first = CallerRequest {
+                        data: begin.clone(),
+                        summary: RequestSummary { pins: false, ..summary.clone() },
+                        complete: true,
+                    };
+                    match self.exchange(&mut grant, &first, true).await? {
+                        ExchangeEnd::Ready if grant.status == TransactionStatus::InTransaction => {
+                            self.state = TransactionState::Open;
+                            self.exchange(&mut grant, request, false).await?
+                        }
+                        ExchangeEnd::Ready => {
+                            let detail = "the target did not start the transaction".to_owned();
+                            let kind = FailureKind::TransactionLost;
+                            let retry_after = Micros::ZERO;
+                            return Ok(Err(LinkFailure { kind, retry_after, detail }));
+                        }
+                        // Nothing but BEGIN was sent.
+                        ExchangeEnd::Failed { failure, .. } => {
+                            begun = false;
+                            ExchangeEnd::Failed { failure, refused: true, answered: false }
+                        }
+                    }
+                }
+            };
+            let (failure, refused, answered) = match end {
+                ExchangeEnd::Ready => {
+                    self.count_read(&grant, summary);
+                    self.keep_grant(grant);
+                    return Ok(Ok(()));
+                }
+                ExchangeEnd::Failed { failure, refused, answered } => (failure, refused, answered),
+            };
+            if begin.is_some() && begun {
+                let lost = !refused && !summary.ends;
+                let kind = if lost { FailureKind::TransactionLost } else { failure.kind };
+                return Ok(Err(LinkFailure { kind, ..failure }));
+            }
+            let table = self.shared.routes.borrow().clone();
+            let rule = self.rule(&table, summary);
+            let repeatable = summary.read && rule.is_ok_and(|(_, rule)| rule.repeatable);
+            let safe = refused || repeatable;
+            if answered || !safe || !request.complete || !self.may_retry(failure.kind, tries.len())
+            {
+                return Ok(Err(failure));
+            }
+            counters.retries.fetch_add(1, Ordering::Relaxed);
+            tries.push(FailedTry { server: grant.server, epoch: grant.epoch, kind: failure.kind });
+        }
+    }
+
+    /// Returns whether another target may be tried after a failure.
+    ///
+    /// A target that says it cannot serve the request costs no work, so moving on is free. Retries
+    /// after real failures draw on the budget.
+    fn may_retry(&self, kind: FailureKind, tries: usize) -> bool {
+        if tries + 1 >= TRY_LIMIT {
+            return false;
+        }
+        match kind {
+            FailureKind::TooStale | FailureKind::Leaving | FailureKind::WrongEpoch => true,
+            FailureKind::Unreachable
+            | FailureKind::TargetRefused
+            | FailureKind::ConnectionLost
+            | FailureKind::PrimaryReplaced
+            | FailureKind::LeaseLost
+            | FailureKind::NoLease
+            | FailureKind::Draining => self.worker.take_retry(),
+            _ => false,
+        }
+    }
+
+    /// Chooses a target and opens a grant on it.
+    async fn choose(
+        &mut self,
+        summary: &RequestSummary,
+        write: bool,
+        transaction: bool,
+        tries: &[FailedTry],
+        started: Instant,
+    ) -> Result<HeldGrant, FailureKind> {
+        if !self.shared.lease.is_valid() {
+            return Err(FailureKind::NoLease);
+        }
+        let mut table = self.shared.routes.borrow().clone();
+        let database = self.identity.database.clone();
+        let (kind, rule) = self.rule(&table, summary)?;
+        if !write && rule.targets != RuleTargets::Primary && !self.floor.is_known() {
+            let mark = self.shared.router.high_water_mark(&database);
+            if let Ok(Ok(mark)) = timeout(MARK_TIMEOUT, mark).await {
+                self.floor.learn(mark);
+            }
+            // The lease and the routes may have changed during the wait.
+            if !self.shared.lease.is_valid() {
+                return Err(FailureKind::NoLease);
+            }
+            table = self.shared.routes.borrow().clone();
+        }
+        let route = table.databases.get(&database).ok_or(FailureKind::UnknownDatabase)?;
+        let floor = self.floor.require(route)?;
+        let left = rule.deadline.since(elapsed(started));
+        if left == Micros::ZERO {
+            return Err(tries.last().map_or(FailureKind::QueueTimeout, |failed| failed.kind));
+        }
+        let settings = &self.shared.settings;
+        let query = ChoiceQuery {
+            rule: &rule,
+            write,
+            floor_known: self.floor.is_known(),
+            region: &settings.region,
+            zone: &settings.zone,
+            tries,
+            random: rand::random(),
+        };
+        let target = choose_target(route, &query)?;
+        let on_primary = route.primary.as_ref() == Some(&target.server);
+        // The broker checks the term of writes only. A session with an unknown floor depends on
+        // reading from the primary in force.
+        let unknown_floor = on_primary && !self.floor.is_known();
+        let access = if write || unknown_floor { GrantAccess::Write } else { GrantAccess::Read };
+        let replica_ack = if transaction || summary.pins || summary.ends {
+            table
+                .sheet
+                .as_ref()
+                .is_some_and(|sheet| strictest_ack(sheet, &database, &self.identity.application))
+        } else {
+            rule.ack == RuleAck::Replica
+        };
+        let request = GrantRequest {
+            database,
+            server: target.server.clone(),
+            epoch: target.epoch,
+            term: route.term.0,
+            kind,
+            application: self.identity.application.clone(),
+            floor,
+            max_age: rule.max_age,
+            access,
+            deadline: left,
+            estimate: None,
+            replica_ack: write && replica_ack,
+            priority: rule.priority,
+            fingerprint: summary.fingerprint,
+        };
+        Ok(HeldGrant {
+            server: target.server.clone(),
+            epoch: target.epoch,
+            access: if write { GrantAccess::Write } else { GrantAccess::Read },
+            on_primary,
+            link: self.shared.router.open(request),
+            status: TransactionStatus::Idle,
+            pinned: false,
+            tainted: false,
+            deadline: rule.deadline.as_duration(),
+        })
+    }
+
+    /// Keeps the grant for the transaction or the session, or releases it.
+    fn keep_grant(&mut self, grant: HeldGrant) {
+        self.state = match grant.status {
+            TransactionStatus::Idle => TransactionState::Idle,
+            TransactionStatus::InTransaction | TransactionStatus::Failed => TransactionState::Open,
+        };
+        if self.state == TransactionState::Idle {
+            self.store.clear_portals();
+        }
+        if grant.pinned || self.state == TransactionState::Open {
+            self.grant = Some(grant);
+        } else {
+            let _ = grant.link.input.try_send(LinkInput::Release);
+        }
+    }
+
+    fn count_read(&self, grant: &HeldGrant, summary: &RequestSummary) {
+        if !summary.read {
+            return;
+        }
+        let counters = &self.shared.counters;
+        let counter =
+            if grant.on_primary { &counters.primary_reads } else { &counters.replica_reads };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the time since `started`.
+fn elapsed(started: Instant) -> Micros {
+    Micros(u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/session/local.rs
@@ -0,0 +1,204 @@
+//! Statements that the proxy answers itself.
+//!
+//! BEGIN is held back until the first statement, which decides the kind and the target of the
+//! transaction. Neutral settings change nothing on a target; any other SET outside a transaction pins
+//! the session to a connection of the primary.
+
+use {
+    super::{
+        answer,
+        connection::{CallerSession, TransactionState},
+        startup::kind_setting,
+    },
+    crate::link::{GrantRouter, LinkInput, TransactionStatus},
+    banyansill_core::statement::{StatementAction, StatementProfile},
+    bytes::{BufMut, BytesMut},
+};
+
+/// Setting that names the kind of all requests without a tag.
+const KIND_SETTING: &str = "banyansill.kind";
+
+/// SQLSTATE of statements in a failed transaction.
+const IN_FAILED_TRANSACTION: &str = "25P02";
+
+/// Answer that the proxy gives without a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum LocalReply {
+    /// The statement goes to a target.
+    None,
+    /// There was no statement.
+    Empty,
+    /// The command tag of the completed statement.
+    Complete(&'static str),
+    /// A setting that the caller is told the new value of.
+    Setting(&'static str, String),
+    /// The statement is refused because the transaction has failed.
+    Aborted,
+    /// The statement is not supported while the session has a connection of its own.
+    Unsupported(&'static str),
+}
+
+impl<R> CallerSession<R>
+where
+    R: GrantRouter,
+{
+    /// Carries out a statement that needs no target, or returns `None`.
+    pub(super) fn local_reply(&mut self, profile: &StatementProfile, text: &[u8]) -> LocalReply {
+        if let TransactionState::Broken { untold } = self.state {
+            let closes =
+                matches!(profile.action, StatementAction::Commit | StatementAction::Rollback);
+            return match profile.action {
+                // A commit must not look successful to a caller that has seen no error.
+                StatementAction::Commit if untold => LocalReply::None,
+                _ if closes => {
+                    self.state = TransactionState::Idle;
+                    LocalReply::Complete("ROLLBACK")
+                }
+                _ if untold => LocalReply::None,
+                _ => LocalReply::Aborted,
+            };
+        }
+        if let Some(grant) = &self.grant
+            && grant.status == TransactionStatus::Failed
+        {
+            return LocalReply::None;
+        }
+        match &profile.action {
+            StatementAction::Empty => LocalReply::Empty,
+            StatementAction::Setting { name, value } => self.set_neutral(name, value),
+            StatementAction::DiscardAll => self.discard_all(),
+            StatementAction::DeallocateAll if self.grant.is_some() => {
+                // The broker counts on the statements that it prepared on the connection.
+                LocalReply::Unsupported("DEALLOCATE ALL on a connection with session state")
+            }
+            StatementAction::DeallocateAll => {
+                self.store.clear();
+                LocalReply::Complete("DEALLOCATE ALL")
+            }
+            _ if self.grant.is_some() => LocalReply::None,
+            StatementAction::Reset => LocalReply::Complete("RESET"),
+            action => self.hold_transaction(action, text),
+        }
+    }
+
+    fn hold_transaction(&mut self, action: &StatementAction, text: &[u8]) -> LocalReply {
+        match action {
+            StatementAction::Begin { .. } if !self.shared.lease.is_valid() => LocalReply::None,
+            StatementAction::Begin { read_only } => {
+                if self.state == TransactionState::Idle {
+                    let mut begin = BytesMut::with_capacity(text.len() + 6);
+                    answer::message(&mut begin, b'Q', |buffer| {
+                        buffer.put_slice(text);
+                        buffer.put_u8(0);
+                    });
+                    let begin = begin.freeze();
+                    self.state = TransactionState::Held { begin, read_only: *read_only };
+                }
+                LocalReply::Complete("BEGIN")
+            }
+            StatementAction::Commit => {
+                self.state = TransactionState::Idle;
+                LocalReply::Complete("COMMIT")
+            }
+            StatementAction::Rollback => {
+                self.state = TransactionState::Idle;
+                LocalReply::Complete("ROLLBACK")
+            }
+            _ => LocalReply::None,
+        }
+    }
+
+    fn set_neutral(&mut self, name: &str, value: &str) -> LocalReply {
+        match name {
+            KIND_SETTING => {
+                self.identity.kind = kind_setting(value);
+                LocalReply::Complete("SET")
+            }
+            // The application of the sheet's rules is the one given at start-up.
+            "application_name" => LocalReply::Setting("application_name", value.to_owned()),
+            "client_encoding" if is_utf8(value) => LocalReply::Complete("SET"),
+            "standard_conforming_strings" if value.eq_ignore_ascii_case("on") => {
+                LocalReply::Complete("SET")
+            }
+            // Every value above zero prints the shortest exact numbers, as the default does.
+            "extra_float_digits" if matches!(value, "1" | "2" | "3") => LocalReply::Complete("SET"),
+            _ => LocalReply::None,
+        }
+    }
+
+    fn discard_all(&mut self) -> LocalReply {
+        if self.state != TransactionState::Idle {
+            return LocalReply::Unsupported("DISCARD ALL inside a transaction");
+        }
+        // The broker resets a tainted connection before it is used again.
+        if let Some(grant) = self.grant.take() {
+            let _ = grant.link.input.try_send(LinkInput::Release);
+        }
+        self.store.clear();
+        self.identity.kind = self.identity.initial_kind.clone();
+        LocalReply::Complete("DISCARD ALL")
+    }
+
+    /// Writes the answer of the statement, without ReadyForQuery.
+    pub(super) fn write_local(&mut self, buffer: &mut BytesMut, reply: &LocalReply) {
+        let severity = answer::ErrorSeverity::Error;
+        match reply {
+            LocalReply::None => {}
+            LocalReply::Empty => answer::bare(buffer, b'I'),
+            LocalReply::Complete(command) => answer::complete(buffer, command),
+            LocalReply::Setting(name, value) => {
+                answer::complete(buffer, "SET");
+                answer::parameter(buffer, name, value);
+            }
+            LocalReply::Aborted => {
+                let message = "the transaction has failed; not run until it is rolled back";
+                answer::error(buffer, severity, IN_FAILED_TRANSACTION, message, "", "");
+            }
+            LocalReply::Unsupported(detail) => {
+                answer::error(buffer, severity, "0A000", "not supported; not run", detail, "");
+                self.break_transaction();
+            }
+        }
+    }
+
+    /// Writes the answers of a batch whose only statement the proxy answers.
+    pub(super) fn write_local_batch(&mut self, buffer: &mut BytesMut, reply: &LocalReply) {
+        while self.store.awaits_parse() {
+            let _ = self.store.confirm();
+        }
+        let steps = std::mem::take(&mut self.batch.steps);
+        for (tag, detail) in steps {
+            match tag {
+                b'P' => answer::bare(buffer, b'1'),
+                b'B' => answer::bare(buffer, b'2'),
+                b'C' => answer::bare(buffer, b'3'),
+                b'D' => {
+                    if detail == b'S' {
+                        answer::message(buffer, b't', |buffer| buffer.put_i16(0));
+                    }
+                    answer::bare(buffer, b'n');
+                }
+                b'E' => {
+                    self.write_local(buffer, reply);
+                    if matches!(reply, LocalReply::Aborted | LocalReply::Unsupported(_)) {
+                        return;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Marks an open transaction as lost after the caller was told of an error in it.
+    pub(super) fn break_transaction(&mut self) {
+        if self.state != TransactionState::Idle {
+            self.grant = None;
+            self.state = TransactionState::Broken { untold: false };
+        }
+    }
+}
+
+fn is_utf8(value: &str) -> bool {
+    let name: String = value.chars().filter(char::is_ascii_alphanumeric).collect();
+    name.eq_ignore_ascii_case("utf8") || name.eq_ignore_ascii_case("unicode")
+}
--- /dev/null
+++ b/crates/entry/src/session/startup.rs
@@ -0,0 +1,233 @@
+//! Start-up packets and what a caller says about itself.
+
+use {
+    super::{
+        CallerAuthentication, EntryShared, answer,
+        connection::{CallerStream, SessionEnd},
+        frame::split_text,
+        registry::{CallerTicket, CancelKey},
+    },
+    crate::link::GrantRouter,
+    banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
+    bytes::{BufMut, BytesMut},
+};
+
+/// Protocol version 3.0.
+const PROTOCOL_3: i32 = 3 << 16;
+const CANCEL_CODE: i32 = 80_877_102;
+const TLS_CODE: i32 = 80_877_103;
+const GSS_CODE: i32 = 80_877_104;
+
+/// Encryption requests that a caller may make before its start-up packet: one for TLS, one for GSS.
+const ENCRYPTION_REQUESTS: usize = 2;
+
+/// Parameters that a start-up packet may hold.
+const PARAMETER_LIMIT: usize = 64;
+
+/// Version that callers are told; drivers choose their dialect by it.
+const SERVER_VERSION: &str = "16.0";
+
+/// First packet of a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartupPacket {
+    /// Asks for TLS or GSS encryption.
+    Encryption,
+    /// Asks to cancel another session's statement.
+    Cancel(CancelKey),
+    /// Starts a session.
+    Start {
+        /// Minor version of protocol 3 that the caller wants.
+        minor: i32,
+        /// Names and values.
+        parameters: Vec<(String, String)>,
+    },
+    /// Asks for a major version other than 3.
+    Version(i32),
+}
+
+/// Parses the body of a start-up packet; returns `None` if it is malformed.
+#[must_use]
+pub fn parse_startup(body: &[u8]) -> Option<StartupPacket> {
+    let (code, mut rest) = split_number(body)?;
+    match code {
+        TLS_CODE | GSS_CODE => return rest.is_empty().then_some(StartupPacket::Encryption),
+        CANCEL_CODE => {
+            let (process, rest) = split_number(rest)?;
+            let (secret, rest) = split_number(rest)?;
+            return rest.is_empty().then_some(StartupPacket::Cancel(CancelKey { process, secret }));
+        }
+        _ if code >> 16 != PROTOCOL_3 >> 16 => return Some(StartupPacket::Version(code)),
+        _ => {}
+    }
+    let mut parameters = Vec::new();
+    loop {
+        let (name, after) = split_text(rest)?;
+        if name.is_empty() {
+            return after
+                .is_empty()
+                .then_some(StartupPacket::Start { minor: code & 0xffff, parameters });
+        }
+        let (value, after) = split_text(after)?;
+        if parameters.len() == PARAMETER_LIMIT {
+            return None;
+        }
+        let name = str::from_utf8(name).ok()?.to_owned();
+        let value = str::from_utf8(value).ok()?.to_owned();
+        parameters.push((name, value));
+        rest = after;
+    }
+}
+
+fn split_number(body: &[u8]) -> Option<(i32, &[u8])> {
+    let (number, rest) = body.split_first_chunk::<4>()?;
+    Some((i32::from_be_bytes(*number), rest))
+}
+
+/// What a caller said about itself at start-up.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CallerIdentity {
+    pub(super) user: String,
+    pub(super) database: SharedName,
+    pub(super) application: SharedName,
+    /// Kind of requests without a tag.
+    pub(super) kind: Option<SharedName>,
+    /// Kind that was set at start-up.
+    pub(super) initial_kind: Option<SharedName>,
+}
+
+impl CallerIdentity {
+    fn new(parameters: &[(String, String)]) -> Option<Self> {
+        let mut identity = Self::default();
+        let mut database = None;
+        for (name, value) in parameters {
+            match name.as_str() {
+                "user" => identity.user.clone_from(value),
+                "database" if !value.is_empty() => database = Some(value.as_str()),
+                "application_name" => identity.application = SharedName::from(value.as_str()),
+                "banyansill.kind" => identity.kind = kind_setting(value),
+                "options" => identity.read_options(value),
+                _ => {}
+            }
+        }
+        if identity.user.is_empty() {
+            return None;
+        }
+        identity.initial_kind = identity.kind.clone();
+        identity.database = SharedName::from(database.unwrap_or(&identity.user));
+        Some(identity)
+    }
+
+    /// Reads `-c name=value` options; other settings are left to the targets' defaults.
+    fn read_options(&mut self, options: &str) {
+        for word in options.split_ascii_whitespace() {
+            let setting = word.strip_prefix("-c").or_else(|| word.strip_prefix("--"));
+            let setting = setting.unwrap_or(word);
+            if let Some(value) = setting.strip_prefix("banyansill.kind=") {
+                self.kind = kind_setting(value);
+            }
+        }
+    }
+}
+
+/// Returns the kind that a setting names; an empty one restores the default.
+pub(super) fn kind_setting(value: &str) -> Option<SharedName> {
+    (!value.is_empty()).then(|| SharedName::from(value))
+}
+
+/// Carries out the start-up of a connection.
+///
+/// Returns `None` if the connection only carried a cancel request.
+pub(super) async fn start<R>(
+    stream: &CallerStream,
+    shared: &EntryShared<R>,
+    ticket: &mut CallerTicket,
+) -> Result<Option<CallerIdentity>, SessionEnd>
+where
+    R: GrantRouter,
+{
+    let mut encryption = 0;
+    let (minor, parameters) = loop {
+        let Some(frame) = stream.next().await? else { return Err(SessionEnd::Closed) };
+        match parse_startup(frame.body()) {
+            Some(StartupPacket::Encryption) if encryption < ENCRYPTION_REQUESTS => {
+                encryption += 1;
+                stream.put(b"N")?;
+                stream.relieve().await?;
+            }
+            Some(StartupPacket::Cancel(key)) => {
+                shared.registry.cancel(key);
+                return Ok(None);
+            }
+            Some(StartupPacket::Start { minor, parameters }) => break (minor, parameters),
+            Some(StartupPacket::Version(_)) => {
+                return Err(SessionEnd::Failure(FailureKind::Unsupported, "protocol version"));
+            }
+            Some(StartupPacket::Encryption) | None => {
+                return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "start-up packet"));
+            }
+        }
+    };
+    stream.codec.finish_startup();
+    if *shared.registry.draining().borrow() {
+        return Err(SessionEnd::Failure(FailureKind::Draining, ""));
+    }
+    if shared.registry.is_full() {
+        return Err(SessionEnd::Failure(FailureKind::TooManyCallers, ""));
+    }
+    let Some(identity) = CallerIdentity::new(&parameters) else {
+        return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "no user name"));
+    };
+    match shared.settings.authentication {
+        CallerAuthentication::Trust => {}
+    }
+    stream.codec.set_limit(shared.settings.message_limit);
+    let mut buffer = BytesMut::new();
+    if minor > 0 {
+        negotiate(&mut buffer, &parameters);
+    }
+    answer::message(&mut buffer, b'R', |buffer| buffer.put_i32(0));
+    for (name, value) in [
+        ("server_version", SERVER_VERSION),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("application_name", identity.application.as_str()),
+        ("DateStyle", "ISO, MDY"),
+        ("IntervalStyle", "postgres"),
+        ("TimeZone", "UTC"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        answer::parameter(&mut buffer, name, value);
+    }
+    let key = ticket.issue_key();
+    answer::message(&mut buffer, b'K', |buffer| {
+        buffer.put_i32(key.process);
+        buffer.put_i32(key.secret);
+    });
+    answer::ready(&mut buffer, answer::STATUS_IDLE);
+    stream.put(&buffer)?;
+    stream.relieve().await?;
+    Ok(Some(identity))
+}
+
+/// Tells a caller of a later minor version that 3.0 is spoken and which options are unknown.
+fn negotiate(buffer: &mut BytesMut, parameters: &[(String, String)]) {
+    let mut unknown: Vec<&str> = Vec::new();
+    for (name, _) in parameters {
+        if name.starts_with("_pq_.") {
+            unknown.push(name);
+        }
+    }
+    answer::message(buffer, b'v', |buffer| {
+        buffer.put_i32(0);
+        buffer.put_i32(i32::try_from(unknown.len()).unwrap_or(i32::MAX));
+        for name in unknown {
+            answer::text(buffer, name);
+        }
+    });
+}
+
+/// Writes the answer to a connection that ends during start-up or is closed by the proxy.
+pub(super) fn fatal(buffer: &mut BytesMut, kind: FailureKind, detail: &str) {
+    answer::failure(buffer, answer::ErrorSeverity::Fatal, kind, detail, Micros::ZERO);
+}
--- /dev/null
+++ b/crates/entry/tests/session_routing.rs
@@ -0,0 +1,182 @@
+//! Routing of requests by the sheet, the floor and the state of targets.
+
+mod support;
+
+use {
+    banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
+    banyansill_entry::link::GrantAccess,
+    support::{Act, Bench, Seen},
+    tokio_postgres::SimpleQueryMessage,
+};
+
+async fn served_by(client: &tokio_postgres::Client, text: &str) -> Result<String, String> {
+    match client.simple_query(text).await {
+        Ok(messages) => {
+            for message in messages {
+                if let SimpleQueryMessage::Row(row) = message {
+                    return Ok(row.get(0).unwrap_or_default().to_owned());
+                }
+            }
+            Ok(String::new())
+        }
+        Err(error) => {
+            let error = error.as_db_error().expect("an error of the proxy");
+            Err(format!("{} {}", error.code().code(), error.detail().unwrap_or_default()))
+        }
+    }
+}
+
+// Guards against reads on the primary, writes on a replica and reads without a floor.
+#[tokio::test]
+async fn reads_go_to_the_nearest_replica_and_writes_to_the_primary() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    assert_eq!(served_by(&client, "SELECT 1").await, Ok("near".to_owned()));
+    let grant = bench.router.grants().remove(0);
+    assert_eq!(grant.request.floor, Some(LogPosition::new(3, 100)));
+    assert_eq!(grant.request.access, GrantAccess::Read);
+    assert_eq!(grant.request.kind.as_str(), "read");
+    assert_eq!(grant.request.max_age, Some(Micros::from_millis(1_000)));
+    served_by(&client, "INSERT INTO t VALUES (1)").await.unwrap();
+    let grant = bench.router.grants().remove(1);
+    assert_eq!(grant.request.server.as_str(), "p");
+    assert_eq!(grant.request.access, GrantAccess::Write);
+    assert_eq!(grant.request.term, 3);
+    served_by(&client, "SELECT pick_and_count('x')").await.unwrap();
+    assert_eq!(bench.router.servers(), ["near", "p", "p"]);
+}
+
+// Guards against a read that does not see the session's own write.
+#[tokio::test]
+async fn floor_rises_with_a_write() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    bench.router.set_position("p", 3, 250);
+    served_by(&client, "INSERT INTO t VALUES (1)").await.unwrap();
+    served_by(&client, "SELECT 1").await.unwrap();
+    let grant = bench.router.grants().remove(1);
+    assert_eq!(grant.request.floor, Some(LogPosition::new(3, 250)));
+    assert_eq!(bench.router.0.lock().unwrap().marks_asked, 0);
+}
+
+// Guards against a read on a replica after reconnecting while the mark cannot be learnt.
+#[tokio::test]
+async fn unknown_floor_reads_from_the_primary() {
+    let bench = Bench::open().await;
+    bench.router.0.lock().unwrap().mark = None;
+    let client = bench.connect().await;
+    assert_eq!(served_by(&client, "SELECT 1").await, Ok("p".to_owned()));
+    assert_eq!(bench.router.grants()[0].request.access, GrantAccess::Write);
+    let only_replicas = served_by(&client, "/* kind=stock */ SELECT 1").await;
+    assert_eq!(only_replicas, Err("57P03 too-stale".to_owned()));
+}
+
+// Guards against an error for the caller while another target can serve the read.
+#[tokio::test]
+async fn stale_and_unreachable_targets_are_passed_over() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    bench.router.act("near", Act::Refuse(FailureKind::TooStale));
+    bench.router.act("far", Act::Refuse(FailureKind::Unreachable));
+    assert_eq!(served_by(&client, "SELECT 1").await, Ok("p".to_owned()));
+    assert_eq!(bench.router.servers(), ["near", "far", "p"]);
+}
+
+// Guards against a write that runs twice, or is said not to have run although it may have.
+#[tokio::test]
+async fn lost_writes_are_unknown_and_not_repeated() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    bench.router.act("p", Act::Lose(FailureKind::ConnectionLost));
+    let result = served_by(&client, "INSERT INTO t VALUES (1)").await;
+    assert_eq!(result, Err("40003 connection-lost".to_owned()));
+    assert_eq!(bench.router.servers(), ["p"]);
+    assert_eq!(served_by(&client, "SELECT 1").await, Ok("near".to_owned()));
+}
+
+// Guards against a repeated read that the sheet does not mark as repeatable, and against a lost
+// read that fails although it could be repeated.
+#[tokio::test]
+async fn lost_reads_are_repeated_if_the_sheet_says_so() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    bench.router.act("near", Act::Lose(FailureKind::ConnectionLost));
+    assert_eq!(served_by(&client, "SELECT 1").await, Ok("far".to_owned()));
+    bench.router.act("near", Act::Lose(FailureKind::ConnectionLost));
+    let result = served_by(&client, "/* kind=once */ SELECT 1").await;
+    assert_eq!(result, Err("40003 connection-lost".to_owned()));
+    assert_eq!(bench.router.servers(), ["near", "far", "near"]);
+}
+
+// Guards against a second answer after part of the first has reached the caller.
+#[tokio::test]
+async fn nothing_is_repeated_after_the_first_byte() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    bench.router.act("near", Act::LoseAfterRow(FailureKind::ConnectionLost));
+    let lines = caller.query("SELECT 1").await;
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines[0].starts_with('D') && lines[1].contains("C40003") && lines[2] == "ZI");
+    assert_eq!(bench.router.servers(), ["near"]);
+}
+
+// Guards against requests that the sheet, the lease or the routes do not allow.
+#[tokio::test]
+async fn refusals_come_at_once_and_name_their_cause() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    let write_as_read = served_by(&client, "/* kind=once */ INSERT INTO t VALUES (1)").await;
+    assert_eq!(write_as_read, Err("42501 not-allowed".to_owned()));
+    let unknown_kind = served_by(&client, "/* kind=nothing */ SELECT 1").await;
+    assert_eq!(unknown_kind, Err("42501 not-allowed".to_owned()));
+    let table = bench.routes.borrow().clone();
+    bench.routes.send_replace(std::sync::Arc::new(banyansill_core::route::RouteTable {
+        sheet: None,
+        ..(*table).clone()
+    }));
+    assert_eq!(served_by(&client, "SELECT 1").await, Err("57P03 no-sheet".to_owned()));
+    assert!(bench.router.grants().is_empty());
+}
+
+// Guards against new work, and the acceptance of a transaction, without a node lease.
+#[tokio::test]
+async fn nothing_runs_without_a_lease() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    let expired =
+        banyansill_entry::lease::NodeLease::new(banyansill_runtime::clock::MonotonicClock::start());
+    assert!(!expired.is_valid());
+    let bench = Bench { lease: expired.clone(), ..bench };
+    drop(client);
+    let handle = support::bind_with_lease(&bench, expired).await;
+    let mut caller = support::RawCaller::open(handle.address()).await;
+    caller.start().await;
+    for text in ["SELECT 1", "INSERT INTO t VALUES (1)", "BEGIN"] {
+        let lines = caller.query(text).await;
+        assert!(lines[0].contains("C57P03") && lines[0].contains("no-lease"), "{lines:?}");
+        assert_eq!(lines[1], "ZI");
+    }
+    assert!(bench.router.grants().is_empty());
+}
+
+// Guards against a setting that is lost, and against state that leaks to another session.
+#[tokio::test]
+async fn session_state_pins_and_taints() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    served_by(&client, "SET application_name = 'x'").await.unwrap();
+    served_by(&client, "SET banyansill.kind = 'order'").await.unwrap();
+    assert!(bench.router.grants().is_empty());
+    served_by(&client, "INSERT INTO t VALUES (1)").await.unwrap();
+    assert_eq!(bench.router.grants()[0].request.kind.as_str(), "order");
+    assert!(bench.router.grants()[0].request.replica_ack);
+    served_by(&client, "SET search_path = 'a'").await.unwrap();
+    served_by(&client, "SELECT 1").await.unwrap();
+    served_by(&client, "INSERT INTO t VALUES (1)").await.unwrap();
+    let grants = bench.router.grants();
+    assert_eq!(grants.len(), 2);
+    assert_eq!(grants[1].seen[0], Seen::Taint);
+    assert_eq!(grants[1].seen.len(), 4);
+    served_by(&client, "DISCARD ALL").await.unwrap();
+    bench.router.wait_for(|grants| grants[1].seen.last() == Some(&Seen::Release)).await;
+}
