--- /dev/null
+++ b/crates/entry/tests/session_lifecycle.rs
@@ -0,0 +1,205 @@
+//! Start-up, cancel, limits and the planned stop.
+
+mod support;
+
+use {
+    banyansill_core::failure::FailureKind,
+    bytes::{BufMut, BytesMut},
+    postgres_protocol::message::frontend,
+    std::time::{Duration, Instant},
+    support::{Act, Bench, RawCaller, Seen, show},
+    tokio::io::AsyncReadExt,
+};
+
+fn query(text: &str) -> BytesMut {
+    let mut buffer = BytesMut::new();
+    frontend::query(text, &mut buffer).expect("a short text");
+    buffer
+}
+
+// Guards against drivers that offer TLS or GSS first and are left without an answer.
+#[tokio::test]
+async fn encryption_is_declined() {
+    let bench = Bench::open().await;
+    let mut caller = RawCaller::open(bench.handle.address()).await;
+    for code in [80_877_103, 80_877_104] {
+        let mut buffer = BytesMut::new();
+        buffer.put_i32(8);
+        buffer.put_i32(code);
+        caller.write(&buffer).await;
+        assert_eq!(caller.socket.read_u8().await.unwrap(), b'N');
+    }
+    let key = caller.start().await;
+    assert!(key.0 > 0);
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZI");
+}
+
+// Guards against newer drivers that are refused although they speak 3.0 as well.
+#[tokio::test]
+async fn later_minor_versions_are_negotiated() {
+    let bench = Bench::open().await;
+    let mut caller = RawCaller::open(bench.handle.address()).await;
+    let mut buffer = BytesMut::new();
+    buffer.put_i32(0);
+    buffer.put_i32((3 << 16) + 2);
+    buffer.put_slice(b"user\0depot\0_pq_.x\0on\0\0");
+    let length = i32::try_from(buffer.len()).unwrap();
+    buffer[..4].copy_from_slice(&length.to_be_bytes());
+    caller.write(&buffer).await;
+    let answers = show(&caller.until_ready().await);
+    assert_eq!(answers[0], "v_pq_.x");
+    assert!(answers.last().unwrap() == "ZI");
+}
+
+// Guards against a cancel that hits another session, a later statement, or nothing.
+#[tokio::test]
+async fn cancel_reaches_the_running_statement_only() {
+    let bench = Bench::open().await;
+    let mut caller = RawCaller::open(bench.handle.address()).await;
+    let (process, secret) = caller.start().await;
+    let cancel = async |process: i32, secret: i32| {
+        let mut buffer = BytesMut::new();
+        frontend::cancel_request(process, secret, &mut buffer);
+        let mut other = RawCaller::open(bench.handle.address()).await;
+        other.write(&buffer).await;
+        assert!(other.next().await.is_none());
+    };
+    cancel(process, secret).await;
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZI");
+    bench.router.act("near", Act::Silent);
+    caller.write(&query("SELECT 2")).await;
+    bench.router.wait_for(|grants| grants.len() == 2 && grants[1].seen.len() == 1).await;
+    cancel(process, secret.wrapping_add(1)).await;
+    cancel(process.wrapping_add(1), secret).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(bench.router.grants()[1].seen.len(), 1);
+    cancel(process, secret).await;
+    let answers = show(&caller.until_ready().await);
+    assert!(answers[0].contains("C57014"), "{answers:?}");
+    assert_eq!(bench.router.grants()[1].seen[1], Seen::Cancel);
+}
+
+// Guards against callers over the limit that hang, and places that are not given back.
+#[tokio::test]
+async fn callers_over_the_limit_are_told() {
+    let bench = Bench::open_with(|settings| settings.max_callers = 1).await;
+    let first = bench.raw().await;
+    let error = bench.config().connect(tokio_postgres::NoTls).await.err().unwrap();
+    assert_eq!(error.code().unwrap().code(), "53300");
+    drop(first);
+    let again = tokio::time::timeout(Duration::from_secs(5), async {
+        while bench.config().connect(tokio_postgres::NoTls).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    again.await.unwrap();
+}
+
+// Guards against connections that never authenticate or stop inside a message, and against closing
+// callers that are merely idle.
+#[tokio::test]
+async fn silent_callers_are_closed_and_idle_ones_stay() {
+    let bound = Duration::from_millis(150);
+    let bench = Bench::open_with(|settings| {
+        settings.startup_timeout = bound;
+        settings.stall_timeout = bound;
+    })
+    .await;
+    let mut idle = bench.raw().await;
+    let mut unborn = RawCaller::open(bench.handle.address()).await;
+    assert!(unborn.next().await.is_none());
+    let mut stuck = bench.raw().await;
+    stuck.write(&query("SELECT 1")[..7]).await;
+    assert!(stuck.next().await.is_none());
+    let mut unsynced = bench.raw().await;
+    let mut buffer = BytesMut::new();
+    frontend::parse("", "SELECT 1", [], &mut buffer).unwrap();
+    unsynced.write(&buffer).await;
+    assert_eq!(unsynced.next().await.unwrap().0, 'E');
+    assert!(unsynced.next().await.is_none());
+    assert_eq!(idle.query("SELECT 1").await.last().unwrap(), "ZI");
+}
+
+// Guards against a caller that does not read and keeps its grant for ever.
+#[tokio::test]
+async fn callers_that_do_not_read_are_closed() {
+    let bound = Duration::from_millis(200);
+    let bench = Bench::open_with(|settings| settings.stall_timeout = bound).await;
+    let mut caller = bench.raw().await;
+    bench.router.act("near", Act::Rows(50_000));
+    caller.write(&query("SELECT 1")).await;
+    bench.router.wait_for(|_| bench.handle.registry().open() == 0).await;
+}
+
+// Guards against a broker that never answers and a caller that waits for ever.
+#[tokio::test]
+async fn silent_broker_is_given_up() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    bench.router.act("near", Act::Silent);
+    let started = Instant::now();
+    let answers = caller.query("/* kind=brief */ SELECT 1").await;
+    assert!(answers[0].contains("run-timeout"), "{answers:?}");
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZI");
+}
+
+// Guards against an interrupted transaction at a planned stop, and idle callers that are not told.
+#[tokio::test]
+async fn drain_lets_work_finish() {
+    let bench = Bench::open().await;
+    let mut idle = bench.raw().await;
+    let mut busy = bench.raw().await;
+    busy.query("BEGIN").await;
+    busy.query("INSERT INTO t VALUES (1)").await;
+    let address = bench.handle.address();
+    let drain = bench.handle.drain(Duration::from_secs(10));
+    let work = async {
+        let (tag, body) = idle.next().await.unwrap();
+        assert!(tag == 'E' && String::from_utf8_lossy(&body).contains("57P01"));
+        assert!(idle.next().await.is_none());
+        let mut late = RawCaller::open(address).await;
+        let mut buffer = BytesMut::new();
+        frontend::startup_message([("user", "depot")], &mut buffer).unwrap();
+        late.write(&buffer).await;
+        assert_eq!(late.next().await.unwrap().0, 'E');
+        assert_eq!(busy.query("INSERT INTO t VALUES (2)").await.last().unwrap(), "ZT");
+        assert_eq!(busy.query("COMMIT").await, ["CCOMMIT", "ZI"]);
+        assert_eq!(busy.next().await.unwrap().0, 'E');
+    };
+    let started = Instant::now();
+    let (open, ()) = tokio::join!(drain, work);
+    assert_eq!(open, 0);
+    assert!(started.elapsed() < Duration::from_secs(5));
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
+
+// Guards against a stop that waits for ever, and a report that hides who was cut off.
+#[tokio::test]
+async fn drain_reports_who_is_left() {
+    let bench = Bench::open().await;
+    let mut busy = bench.raw().await;
+    busy.query("BEGIN").await;
+    busy.query("INSERT INTO t VALUES (1)").await;
+    assert_eq!(bench.handle.drain(Duration::from_millis(100)).await, 1);
+    assert!(busy.next().await.is_none());
+    bench.router.wait_for(|grants| grants[0].seen.last() == Some(&Seen::Gone)).await;
+}
+
+// Guards against retries that multiply the load of a failing group.
+#[tokio::test]
+async fn retries_are_bounded() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    for _ in 0..100 {
+        for server in ["near", "far", "p"] {
+            bench.router.act(server, Act::Refuse(FailureKind::Unreachable));
+        }
+    }
+    for _ in 0..50 {
+        let answers = caller.query("SELECT 1").await;
+        assert!(answers[0].contains("unreachable"), "{answers:?}");
+    }
+    // 50 first tries, a burst of 10 retries and one for every ten requests.
+    assert!(bench.router.grants().len() <= 50 + 10 + 5 + 1, "{}", bench.router.grants().len());
+}
--- /dev/null
+++ b/crates/entry/tests/session_transactions.rs
@@ -0,0 +1,186 @@
+//! Transactions: one grant each, and honest answers when one is lost.
+
+mod support;
+
+use {
+    banyansill_core::failure::FailureKind,
+    banyansill_entry::link::GrantAccess,
+    support::{Act, Bench, Seen, texts},
+};
+
+// Guards against a transaction that is spread over grants, or whose grant is kept after its end.
+#[tokio::test]
+async fn transaction_runs_on_one_grant() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    assert_eq!(caller.query("BEGIN").await, ["CBEGIN", "ZT"]);
+    assert!(bench.router.grants().is_empty());
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZT");
+    assert_eq!(
+        caller.query("/* kind=order */ INSERT INTO t VALUES (1)").await.last().unwrap(),
+        "ZT"
+    );
+    assert_eq!(caller.query("COMMIT").await, ["CCOMMIT", "ZI"]);
+    bench.router.wait_for(|grants| grants[0].seen.last() == Some(&Seen::Release)).await;
+    let grant = bench.router.grants().remove(0);
+    assert_eq!(grant.request.server.as_str(), "p");
+    assert_eq!(grant.request.access, GrantAccess::Write);
+    let expected = ["BEGIN", "SELECT 1", "/* kind=order */ INSERT INTO t VALUES (1)", "COMMIT"];
+    assert_eq!(texts(&grant), expected);
+    caller.query("SELECT 1").await;
+    assert_eq!(bench.router.servers(), ["p", "near"]);
+}
+
+// Guards against an order that is acknowledged by the primary alone because a read came first.
+#[tokio::test]
+async fn transaction_takes_the_strictest_ack() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    caller.query("BEGIN").await;
+    caller.query("SELECT 1").await;
+    assert!(bench.router.grants()[0].request.replica_ack);
+    let mut other = bench.raw().await;
+    other.query("INSERT INTO t VALUES (1)").await;
+    assert!(!bench.router.grants()[1].request.replica_ack);
+}
+
+// Guards against read-only transactions that load the primary, and against writes on a replica.
+#[tokio::test]
+async fn read_only_transaction_runs_on_a_replica() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    caller.query("BEGIN READ ONLY").await;
+    caller.query("SELECT 1").await;
+    let refused = caller.query("INSERT INTO t VALUES (1)").await;
+    assert!(refused[0].contains("C42501"), "{refused:?}");
+    assert_eq!(refused[1], "ZE");
+    assert_eq!(caller.query("ROLLBACK").await, ["CROLLBACK", "ZI"]);
+    assert_eq!(bench.router.servers(), ["near"]);
+    bench.router.wait_for(|grants| grants[0].seen.last() == Some(&Seen::Gone)).await;
+}
+
+// Guards against statements that run on their own after their transaction was lost.
+#[tokio::test]
+async fn lost_transaction_refuses_until_it_is_ended() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    bench.router.act("p", Act::LoseSecond(FailureKind::ConnectionLost));
+    caller.query("BEGIN").await;
+    caller.query("INSERT INTO t VALUES (1)").await;
+    let lost = caller.query("INSERT INTO t VALUES (2)").await;
+    assert!(lost[0].contains("C40001") && lost[0].contains("transaction-lost"), "{lost:?}");
+    assert_eq!(lost[1], "ZE");
+    let after = caller.query("INSERT INTO t VALUES (3)").await;
+    assert!(after[0].contains("C25P02"), "{after:?}");
+    assert_eq!(caller.query("COMMIT").await, ["CROLLBACK", "ZI"]);
+    assert_eq!(bench.router.servers(), ["p"]);
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZI");
+}
+
+// Guards against a commit whose outcome is unknown and that is reported as rolled back.
+#[tokio::test]
+async fn lost_commit_is_unknown() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    bench.router.act("p", Act::LoseSecond(FailureKind::PrimaryReplaced));
+    caller.query("BEGIN").await;
+    caller.query("INSERT INTO t VALUES (1)").await;
+    let lost = caller.query("COMMIT").await;
+    assert!(lost[0].contains("C40003") && lost[0].contains("primary-replaced"), "{lost:?}");
+    assert_eq!(lost[1], "ZI");
+}
+
+// Guards against a transaction that fails although only its BEGIN was sent.
+#[tokio::test]
+async fn refused_transaction_is_tried_elsewhere() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    bench.router.act("near", Act::Refuse(FailureKind::Leaving));
+    caller.query("BEGIN READ ONLY").await;
+    assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZT");
+    assert_eq!(bench.router.servers(), ["near", "far"]);
+    assert_eq!(texts(&bench.router.grants()[1]), ["BEGIN READ ONLY", "SELECT 1"]);
+}
+
+// Guards against a transaction that stays open on a target after its caller has gone.
+#[tokio::test]
+async fn disconnect_drops_the_grant() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    caller.query("BEGIN").await;
+    caller.query("INSERT INTO t VALUES (1)").await;
+    drop(caller);
+    bench.router.wait_for(|grants| grants[0].seen.last() == Some(&Seen::Gone)).await;
+    bench.router.act("p", Act::Silent);
+    let mut caller = bench.raw().await;
+    let mut buffer = bytes::BytesMut::new();
+    postgres_protocol::message::frontend::query("INSERT INTO t VALUES (1)", &mut buffer).unwrap();
+    caller.write(&buffer).await;
+    bench.router.wait_for(|grants| grants.len() == 2 && grants[1].seen.len() == 1).await;
+    drop(caller);
+    bench.router.wait_for(|grants| grants[1].seen.last() == Some(&Seen::Gone)).await;
+}
+
+// Guards against transactions without statements that take a connection, and wrong status bytes.
+#[tokio::test]
+async fn empty_transactions_need_no_target() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    for (text, answer) in [
+        ("BEGIN", ["CBEGIN", "ZT"]),
+        ("BEGIN", ["CBEGIN", "ZT"]),
+        ("", ["I", "ZT"]),
+        ("COMMIT", ["CCOMMIT", "ZI"]),
+        ("ROLLBACK", ["CROLLBACK", "ZI"]),
+        (";", ["I", "ZI"]),
+    ] {
+        assert_eq!(caller.query(text).await, answer, "{text}");
+    }
+    assert!(bench.router.grants().is_empty());
+}
+
+// Guards against a driver's transaction that misbehaves behind the held-back BEGIN.
+#[tokio::test]
+async fn drivers_transactions_work() {
+    let bench = Bench::open().await;
+    let mut client = bench.connect().await;
+    let transaction = client.transaction().await.unwrap();
+    transaction.execute("INSERT INTO t VALUES ($1)", &[]).await.unwrap();
+    transaction.commit().await.unwrap();
+    let transaction = client.build_transaction().read_only(true).start().await.unwrap();
+    let row = transaction.query_one("SELECT 1", &[]).await.unwrap();
+    assert_eq!(row.get::<_, String>(0), "near");
+    transaction.rollback().await.unwrap();
+    assert_eq!(bench.router.servers(), ["p", "near"]);
+}
+
+// Guards against statements that run one by one because the transaction around them was dropped
+// while its caller was idle, and against a commit that then looks successful.
+#[tokio::test]
+async fn transaction_lost_while_idle_is_reported() {
+    let bench = Bench::open().await;
+    for text in ["COMMIT", "INSERT INTO t VALUES (2)"] {
+        let mut caller = bench.raw().await;
+        bench.router.act("p", Act::LoseIdle(FailureKind::ConnectionLost));
+        caller.query("BEGIN").await;
+        caller.query("INSERT INTO t VALUES (1)").await;
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        let lost = caller.query(text).await;
+        assert!(lost[0].contains("C40001"), "{text}: {lost:?}");
+        caller.query("ROLLBACK").await;
+        assert_eq!(caller.query("SELECT 1").await.last().unwrap(), "ZI");
+    }
+}
+
+// Guards against a callers' idle transaction that holds a target's connection for ever.
+#[tokio::test]
+async fn idle_transactions_are_bounded() {
+    let bound = std::time::Duration::from_millis(100);
+    let bench = Bench::open_with(|settings| settings.transaction_timeout = bound).await;
+    let mut caller = bench.raw().await;
+    caller.query("BEGIN").await;
+    caller.query("INSERT INTO t VALUES (1)").await;
+    let (tag, _) = caller.next().await.unwrap();
+    assert_eq!(tag, 'E');
+    assert!(caller.next().await.is_none());
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -46,6 +46,8 @@
     Silent,
     /// Answers the first statement and loses the second.
     LoseSecond(FailureKind),
+    /// Answers the first statement and then loses the connection.
+    LoseIdle(FailureKind),
     /// Sends this many rows of 1 KiB.
     Rows(usize),
 }
@@ -247,6 +249,12 @@
                 _ => {}
             }
             self.answer(tag, &text).await;
+            if let Some(Act::LoseIdle(kind)) = self.act.clone()
+                && !begins
+            {
+                let _ = self.peer.output.send(LinkOutput::Lost(failure(kind))).await;
+                return false;
+            }
         }
         true
     }
@@ -580,3 +588,14 @@
     }
     lines
 }
+
+/// Texts of the messages that a grant's broker saw.
+pub fn texts(grant: &GrantRecord) -> Vec<String> {
+    let mut texts = Vec::new();
+    for seen in &grant.seen {
+        if let Seen::Message(_, text) = seen {
+            texts.push(text.clone());
+        }
+    }
+    texts
+}
