--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod lease;
 pub mod link;
 pub mod membership;
+pub mod session;
