--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,3 +1,5 @@
 //! Control process: durable replicated state, membership, sheet and promotion.
 
 pub mod command_log;
+pub mod replica;
+pub mod storage;
--- /dev/null
+++ b/crates/control/src/replica/mod.rs
@@ -0,0 +1,20 @@
+//! Driver of the replicated log: a task that owns the machine, a thread that writes and syncs, and
+//! one stream per peer.
+
+mod convert;
+mod disk_thread;
+mod driver;
+mod founding;
+mod handle;
+mod members;
+mod peers;
+mod requests;
+mod service;
+mod settings;
+
+pub use {
+    handle::ReplicaHandle,
+    members::{MemberError, MemberStatus},
+    service::ReplicaService,
+    settings::{InitialMember, ReplicaError, ReplicaSettings},
+};
--- /dev/null
+++ b/crates/control/src/replica/peers.rs
@@ -0,0 +1,122 @@
+//! Streams to the other replicas.
+
+use {
+    banyansill_core::collections::FastMap,
+    banyansill_core::names::SharedName,
+    banyansill_wire::v1::{
+        IdentifyReply, IdentifyRequest, ReplicaMessage, replica_client::ReplicaClient,
+    },
+    std::time::Duration,
+    tokio::{sync::mpsc, task::JoinSet, time},
+    tokio_stream::wrappers::ReceiverStream,
+    tonic::{
+        Status,
+        transport::{Channel, Endpoint},
+    },
+};
+
+/// Messages that wait for one peer; more are dropped, as on a lossy network.
+const PEER_QUEUE: usize = 256;
+
+/// Largest message, which is a snapshot of the whole state.
+pub(super) const MESSAGE_BYTES: usize = 512 * 1024 * 1024;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+
+// A connection that has gone silent is closed after at most 250 + 500 ms.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+const IDENTIFY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Senders to all peers by address.
+#[derive(Debug, Default)]
+pub(super) struct PeerPool {
+    senders: FastMap<SharedName, mpsc::Sender<ReplicaMessage>>,
+    tasks: JoinSet<()>,
+}
+
+impl PeerPool {
+    /// Queues a message; it is dropped if the queue is full.
+    pub(super) fn send(&mut self, address: &SharedName, message: ReplicaMessage) {
+        let sender = self.senders.entry(address.clone()).or_insert_with(|| {
+            let (sender, queue) = mpsc::channel(PEER_QUEUE);
+            self.tasks.spawn(run_peer(address.clone(), queue));
+            sender
+        });
+        let _ = sender.try_send(message);
+    }
+
+    /// Ends the streams to all addresses but the given ones.
+    pub(super) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&SharedName) -> bool,
+    {
+        self.senders.retain(|address, _| keep(address));
+    }
+}
+
+fn endpoint(address: &str) -> Result<Endpoint, tonic::transport::Error> {
+    Ok(Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .keep_alive_while_idle(true))
+}
+
+async fn run_peer(address: SharedName, mut queue: mpsc::Receiver<ReplicaMessage>) {
+    let endpoint = match endpoint(&address) {
+        Ok(endpoint) => endpoint,
+        Err(error) => {
+            log::error!("replica address {address}: {error}");
+            return;
+        }
+    };
+    while !queue.is_closed() {
+        match endpoint.connect().await {
+            Ok(channel) => {
+                // Messages that waited for the connection are outdated.
+                while queue.try_recv().is_ok() {}
+                if let Err(status) = run_stream(channel, &mut queue).await {
+                    log::debug!("stream to replica {address}: {status}");
+                }
+            }
+            Err(error) => log::debug!("connection to replica {address}: {error}"),
+        }
+        time::sleep(RECONNECT_DELAY).await;
+    }
+}
+
+/// Sends from the queue until the stream breaks or the queue is closed.
+async fn run_stream(
+    channel: Channel,
+    queue: &mut mpsc::Receiver<ReplicaMessage>,
+) -> Result<(), Status> {
+    let mut client = ReplicaClient::new(channel).max_encoding_message_size(MESSAGE_BYTES);
+    let (sender, receiver) = mpsc::channel(1);
+    let stream = client.deliver(ReceiverStream::new(receiver));
+    let pump = async {
+        while let Some(message) = queue.recv().await {
+            if sender.send(message).await.is_err() {
+                break;
+            }
+        }
+    };
+    tokio::select! {
+        result = stream => result.map(|_| ()),
+        () = pump => Ok(()),
+    }
+}
+
+/// Asks the replica at an address for its identity.
+pub(super) async fn identify(address: &str) -> Result<IdentifyReply, Status> {
+    let endpoint = endpoint(address)
+        .map_err(|error| Status::invalid_argument(error.to_string()))?
+        .timeout(IDENTIFY_TIMEOUT);
+    let channel =
+        endpoint.connect().await.map_err(|error| Status::unavailable(error.to_string()))?;
+    let reply = ReplicaClient::new(channel).identify(IdentifyRequest {}).await?;
+    Ok(reply.into_inner())
+}
--- /dev/null
+++ b/crates/control/src/replica/service.rs
@@ -0,0 +1,66 @@
+//! Tonic service that receives the messages of other replicas.
+
+use {
+    super::{
+        peers::MESSAGE_BYTES,
+        requests::{Delivered, ReplicaRequest},
+    },
+    banyansill_core::machine::StateMachine,
+    banyansill_wire::v1::{
+        DeliverReply, IdentifyReply, IdentifyRequest, ReplicaMessage,
+        replica_server::{Replica, ReplicaServer},
+    },
+    tokio::sync::{mpsc, oneshot},
+    tonic::{Request, Response, Status, Streaming},
+};
+
+/// Receiving side of the protocol between replicas.
+pub struct ReplicaService<M>
+where
+    M: StateMachine,
+{
+    pub(super) delivered: mpsc::Sender<Delivered>,
+    pub(super) requests: mpsc::Sender<ReplicaRequest<M>>,
+}
+
+impl<M> ReplicaService<M>
+where
+    M: StateMachine,
+{
+    /// Returns the service for a tonic server.
+    #[must_use]
+    pub fn into_server(self) -> ReplicaServer<Self> {
+        ReplicaServer::new(self).max_decoding_message_size(MESSAGE_BYTES)
+    }
+}
+
+#[tonic::async_trait]
+impl<M> Replica for ReplicaService<M>
+where
+    M: StateMachine,
+{
+    async fn deliver(
+        &self,
+        request: Request<Streaming<ReplicaMessage>>,
+    ) -> Result<Response<DeliverReply>, Status> {
+        let mut stream = request.into_inner();
+        while let Some(message) = stream.message().await? {
+            // Waiting for room here slows the sender's stream, whose bounded queue then drops.
+            if self.delivered.send(message).await.is_err() {
+                return Err(Status::unavailable("replica stopped"));
+            }
+        }
+        Ok(Response::new(DeliverReply {}))
+    }
+
+    async fn identify(
+        &self,
+        _request: Request<IdentifyRequest>,
+    ) -> Result<Response<IdentifyReply>, Status> {
+        let stopped = || Status::unavailable("replica stopped");
+        let (reply, answer) = oneshot::channel();
+        let request = ReplicaRequest::Identify { reply };
+        self.requests.send(request).await.map_err(|_| stopped())?;
+        Ok(Response::new(answer.await.map_err(|_| stopped())?))
+    }
+}
--- /dev/null
+++ b/crates/control/src/storage/log_storage.rs
@@ -0,0 +1,431 @@
+//! Data folder of one replica.
+
+use {
+    super::{
+        StorageError,
+        codec::{
+            BatchRecord, ChangeRecord, IdentityRecord, LogChange, RestartRecord, SegmentRecord,
+            SnapshotRecord, push_changes,
+        },
+        disk::DiskAccess,
+        record::{self, RecordKind},
+        replay::{ReplayedLog, SegmentEnd, SegmentFile, numbered, numbered_path},
+    },
+    banyansill_core::consensus::{
+        HardState, ReplicaIdentity, RestoredLog, SnapshotImage, StorageWrite,
+    },
+    prost::Message,
+    std::path::{Path, PathBuf},
+};
+
+const SEGMENT_PREFIX: &str = "segment-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const IDENTITY_FILE: &str = "identity";
+const LOCK_FILE: &str = "lock";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// File number in the checksum of the identity record.
+const IDENTITY_NUMBER: u64 = 0;
+
+/// Limits of the storage.
+#[derive(Clone, Copy, Debug)]
+pub struct StorageSettings {
+    /// Size above which a new segment is started.
+    pub segment_bytes: usize,
+}
+
+impl Default for StorageSettings {
+    fn default() -> Self {
+        Self { segment_bytes: 1024 * 1024 }
+    }
+}
+
+/// What a data folder contains.
+#[derive(Clone, Debug)]
+pub struct RestoredReplica {
+    /// Identity of the folder.
+    pub identity: ReplicaIdentity,
+    /// State of the log.
+    pub log: RestoredLog,
+    /// Bytes that were cut off because their write had not finished.
+    pub torn_bytes: u64,
+}
+
+/// Open data folder.
+#[derive(Debug)]
+pub struct LogStorage<D>
+where
+    D: DiskAccess,
+{
+    disk: D,
+    folder: PathBuf,
+    settings: StorageSettings,
+    /// Held so that no other process opens the folder.
+    _lock: D::File,
+    segments: Vec<SegmentFile>,
+    /// Last segment and its length.
+    file: D::File,
+    length: usize,
+    hard_state: HardState,
+    /// Index and term of the last entry.
+    last: (u64, u64),
+    snapshot_index: u64,
+    failed: bool,
+}
+
+impl<D> LogStorage<D>
+where
+    D: DiskAccess,
+{
+    /// Opens a data folder, creating it with the given identity if it is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file operation fails, another process uses the folder, or a file is
+    /// damaged other than by a write that did not finish.
+    pub fn open(
+        folder: &Path,
+        disk: D,
+        settings: StorageSettings,
+        fresh_identity: ReplicaIdentity,
+    ) -> Result<(Self, RestoredReplica), StorageError> {
+        disk.create_folder(folder).map_err(StorageError::io("create", folder))?;
+        let lock_path = folder.join(LOCK_FILE);
+        let lock = disk.lock(&lock_path).map_err(StorageError::io("lock", &lock_path))?;
+        let Some(lock) = lock else {
+            return Err(StorageError::Locked { path: folder.to_owned() });
+        };
+        let mut names = disk.list(folder).map_err(StorageError::io("list", folder))?;
+        names.sort_unstable();
+        for name in &names {
+            if name.ends_with(TEMPORARY_SUFFIX) {
+                let path = folder.join(name);
+                disk.remove(&path).map_err(StorageError::io("remove", &path))?;
+            }
+        }
+        let identity = read_identity(&disk, folder, &names, fresh_identity)?;
+        let snapshot = read_snapshot(&disk, folder, &names)?;
+        let mut log = ReplayedLog::default();
+        let mut segments = Vec::new();
+        let mut torn_bytes = 0;
+        let numbers: Vec<u64> =
+            names.iter().filter_map(|name| numbered(name, SEGMENT_PREFIX)).collect();
+        let mut length = 0;
+        for (position, number) in numbers.iter().enumerate() {
+            let path = numbered_path(folder, SEGMENT_PREFIX, *number);
+            let bytes = disk.read(&path).map_err(StorageError::io("read", &path))?;
+            let mut segment = SegmentFile { number: *number, path: path.clone(), last_index: 0 };
+            let last = position + 1 == numbers.len();
+            match log.read_segment(&mut segment, &bytes, last)? {
+                SegmentEnd::Intact { length: 0 } | SegmentEnd::Torn { offset: 0 } => {
+                    // The process died while it started this segment.
+                    torn_bytes += bytes.len() as u64;
+                    disk.remove(&path).map_err(StorageError::io("remove", &path))?;
+                    continue;
+                }
+                SegmentEnd::Intact { length: whole } => length = whole,
+                SegmentEnd::Torn { offset } => {
+                    torn_bytes += (bytes.len() - offset) as u64;
+                    disk.truncate(&path, offset as u64)
+                        .map_err(StorageError::io("truncate", &path))?;
+                    length = offset;
+                }
+            }
+            segments.push(segment);
+        }
+        let restart = log.term_at(snapshot.index) != Some(snapshot.term);
+        if restart {
+            if log.base_index > snapshot.index {
+                let reason =
+                    format!("the log starts after index {} without a snapshot", log.base_index);
+                let path = segments.first().map_or_else(|| folder.to_owned(), |s| s.path.clone());
+                return Err(StorageError::Corrupt { path, offset: 0, reason });
+            }
+            // The process died between saving a received snapshot and restarting the log after it.
+            log.restart(snapshot.index, snapshot.term);
+        }
+        let (number, path) = match segments.last() {
+            Some(segment) => (segment.number, segment.path.clone()),
+            None => (1, numbered_path(folder, SEGMENT_PREFIX, 1)),
+        };
+        let file = disk.open(&path).map_err(StorageError::io("open", &path))?;
+        let mut storage = Self {
+            disk,
+            folder: folder.to_owned(),
+            settings,
+            _lock: lock,
+            file,
+            length,
+            hard_state: log.hard_state,
+            last: (log.last_index(), log.last_term()),
+            snapshot_index: snapshot.index,
+            failed: false,
+            segments,
+        };
+        if storage.segments.is_empty() {
+            storage.start_segment(number, path)?;
+        } else if restart {
+            let restart = RestartRecord { index: snapshot.index, term: snapshot.term };
+            let change = ChangeRecord { change: Some(LogChange::Restart(restart)) };
+            storage.append_batch(vec![change])?;
+        }
+        let restored = RestoredReplica {
+            identity,
+            log: RestoredLog {
+                hard_state: log.hard_state,
+                snapshot,
+                base: (log.base_index, log.base_term),
+                entries: log.entries,
+            },
+            torn_bytes,
+        };
+        Ok((storage, restored))
+    }
+
+    /// Carries out writes and makes them durable by one sync.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an operation fails; every later call then fails too, because what the
+    /// disk contains is not known any more.
+    pub fn write(&mut self, writes: &[StorageWrite]) -> Result<(), StorageError> {
+        self.guarded(|storage| storage.write_all(writes))
+    }
+
+    /// Saves a snapshot of the applied state and removes the older one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`LogStorage::write`] does.
+    pub fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StorageError> {
+        self.guarded(|storage| storage.replace_snapshot(image))
+    }
+
+    /// Returns the number of bytes in the log's files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file cannot be read.
+    pub fn log_bytes(&self) -> Result<u64, StorageError> {
+        let mut total = 0;
+        for segment in &self.segments {
+            let path = &segment.path;
+            let bytes = self.disk.read(path).map_err(StorageError::io("read", path))?;
+            total += bytes.len() as u64;
+        }
+        Ok(total)
+    }
+
+    fn guarded<F>(&mut self, operation: F) -> Result<(), StorageError>
+    where
+        F: FnOnce(&mut Self) -> Result<(), StorageError>,
+    {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let result = operation(self);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn write_all(&mut self, writes: &[StorageWrite]) -> Result<(), StorageError> {
+        let mut changes = Vec::new();
+        for write in writes {
+            if let StorageWrite::Install(image) = write {
+                // The snapshot must be durable before the log that it replaces is given up.
+                self.append_batch(std::mem::take(&mut changes))?;
+                self.replace_snapshot(image)?;
+            }
+            self.note(write);
+            push_changes(&mut changes, write);
+        }
+        self.append_batch(changes)?;
+        for write in writes {
+            if let StorageWrite::Compact { through } = write {
+                self.remove_segments(*through)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Follows the last entry and the hard state, which the next segment's header records.
+    fn note(&mut self, write: &StorageWrite) {
+        match write {
+            StorageWrite::HardState(state) => self.hard_state = *state,
+            StorageWrite::Append(entries) => {
+                if let Some(entry) = entries.last() {
+                    self.last = (entry.index, entry.term);
+                    if let Some(segment) = self.segments.last_mut() {
+                        segment.last_index = segment.last_index.max(entry.index);
+                    }
+                }
+            }
+            // The term before the truncated entries is not known here, so no segment is started
+            // until the entries that follow the truncation are written.
+            StorageWrite::Truncate { from } => self.last = (from - 1, 0),
+            StorageWrite::Install(image) => self.last = (image.index, image.term),
+            StorageWrite::Compact { .. } => {}
+        }
+    }
+
+    fn append_batch(&mut self, changes: Vec<ChangeRecord>) -> Result<(), StorageError> {
+        if changes.is_empty() {
+            return Ok(());
+        }
+        let Some(segment) = self.segments.last() else { return Err(StorageError::Failed) };
+        let payload = BatchRecord { changes }.encode_to_vec();
+        let bytes = record::encode(segment.number, self.length, RecordKind::Batch, &payload);
+        let path = segment.path.clone();
+        write_synced(&self.disk, &mut self.file, &path, &bytes)?;
+        self.length += bytes.len();
+        if self.length >= self.settings.segment_bytes && self.last.1 > 0 {
+            let number = segment.number + 1;
+            let path = numbered_path(&self.folder, SEGMENT_PREFIX, number);
+            self.file = self.disk.open(&path).map_err(StorageError::io("create", &path))?;
+            self.start_segment(number, path)?;
+        }
+        Ok(())
+    }
+
+    fn start_segment(&mut self, number: u64, path: PathBuf) -> Result<(), StorageError> {
+        let header = SegmentRecord {
+            hard_state: Some(self.hard_state.into()),
+            last_index: self.last.0,
+            last_term: self.last.1,
+        };
+        let payload = header.encode_to_vec();
+        let bytes = record::encode(number, 0, RecordKind::Segment, &payload);
+        write_synced(&self.disk, &mut self.file, &path, &bytes)?;
+        self.disk.sync_folder(&self.folder).map_err(StorageError::io("sync", &self.folder))?;
+        self.length = bytes.len();
+        self.segments.push(SegmentFile { number, path, last_index: self.last.0 });
+        Ok(())
+    }
+
+    fn replace_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StorageError> {
+        if image.index <= self.snapshot_index {
+            return Ok(());
+        }
+        let payload = SnapshotRecord::from(image).encode_to_vec();
+        let bytes = record::encode(image.index, 0, RecordKind::Snapshot, &payload);
+        let path = numbered_path(&self.folder, SNAPSHOT_PREFIX, image.index);
+        replace_file(&self.disk, &self.folder, &path, &bytes)?;
+        if self.snapshot_index > 0 {
+            let old = numbered_path(&self.folder, SNAPSHOT_PREFIX, self.snapshot_index);
+            self.disk.remove(&old).map_err(StorageError::io("remove", &old))?;
+        }
+        self.snapshot_index = image.index;
+        Ok(())
+    }
+
+    /// Removes the oldest segments as long as they hold only entries up to an index.
+    fn remove_segments(&mut self, through: u64) -> Result<(), StorageError> {
+        while self.segments.len() > 1 && self.segments[0].last_index <= through {
+            let path = self.segments.remove(0).path;
+            self.disk.remove(&path).map_err(StorageError::io("remove", &path))?;
+            // Otherwise a crash could bring back an older segment but not the one after it.
+            self.disk.sync_folder(&self.folder).map_err(StorageError::io("sync", &self.folder))?;
+        }
+        Ok(())
+    }
+}
+
+fn read_identity<D>(
+    disk: &D,
+    folder: &Path,
+    names: &[String],
+    fresh: ReplicaIdentity,
+) -> Result<ReplicaIdentity, StorageError>
+where
+    D: DiskAccess,
+{
+    let path = folder.join(IDENTITY_FILE);
+    let corrupt = |reason: &str| StorageError::Corrupt {
+        path: path.clone(),
+        offset: 0,
+        reason: reason.to_owned(),
+    };
+    if names.iter().any(|name| name == IDENTITY_FILE) {
+        let bytes = disk.read(&path).map_err(StorageError::io("read", &path))?;
+        let found = record::decode(IDENTITY_NUMBER, &bytes, 0)
+            .filter(|found| found.kind == RecordKind::Identity)
+            .ok_or_else(|| corrupt("not an identity record"))?;
+        let identity =
+            IdentityRecord::decode(found.payload).map_err(|error| corrupt(&error.to_string()))?;
+        return Ok(ReplicaIdentity(identity.identity));
+    }
+    let foreign = |name: &String| {
+        numbered(name, SEGMENT_PREFIX).or_else(|| numbered(name, SNAPSHOT_PREFIX)).is_some()
+    };
+    if names.iter().any(foreign) {
+        return Err(corrupt("the folder has a log but no identity"));
+    }
+    let payload = IdentityRecord { identity: fresh.0 }.encode_to_vec();
+    let bytes = record::encode(IDENTITY_NUMBER, 0, RecordKind::Identity, &payload);
+    replace_file(disk, folder, &path, &bytes)?;
+    if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        disk.sync_folder(parent).map_err(StorageError::io("sync", parent))?;
+    }
+    Ok(fresh)
+}
+
+fn read_snapshot<D>(
+    disk: &D,
+    folder: &Path,
+    names: &[String],
+) -> Result<SnapshotImage, StorageError>
+where
+    D: DiskAccess,
+{
+    let mut numbers: Vec<u64> =
+        names.iter().filter_map(|name| numbered(name, SNAPSHOT_PREFIX)).collect();
+    let Some(latest) = numbers.pop() else { return Ok(SnapshotImage::default()) };
+    let path = numbered_path(folder, SNAPSHOT_PREFIX, latest);
+    let bytes = disk.read(&path).map_err(StorageError::io("read", &path))?;
+    let record = record::decode(latest, &bytes, 0)
+        .filter(|found| found.kind == RecordKind::Snapshot)
+        .and_then(|found| SnapshotRecord::decode(found.payload).ok())
+        .ok_or_else(|| StorageError::Corrupt {
+            path: path.clone(),
+            offset: 0,
+            reason: "not an intact snapshot".to_owned(),
+        })?;
+    for number in numbers {
+        let path = numbered_path(folder, SNAPSHOT_PREFIX, number);
+        disk.remove(&path).map_err(StorageError::io("remove", &path))?;
+    }
+    Ok(record.into())
+}
+
+/// Replaces a file so that a crash leaves either the old content or the new one.
+fn replace_file<D>(disk: &D, folder: &Path, path: &Path, bytes: &[u8]) -> Result<(), StorageError>
+where
+    D: DiskAccess,
+{
+    let temporary = path.with_extension(&TEMPORARY_SUFFIX[1..]);
+    let mut file = disk.open(&temporary).map_err(StorageError::io("create", &temporary))?;
+    write_synced(disk, &mut file, &temporary, bytes)?;
+    disk.rename(&temporary, path).map_err(StorageError::io("rename", &temporary))?;
+    disk.sync_folder(folder).map_err(StorageError::io("sync", folder))
+}
+
+fn write_synced<D>(
+    disk: &D,
+    file: &mut D::File,
+    path: &Path,
+    bytes: &[u8],
+) -> Result<(), StorageError>
+where
+    D: DiskAccess,
+{
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let count = disk.write(file, rest).map_err(StorageError::io("write", path))?;
+        if count == 0 {
+            let error = std::io::Error::from(std::io::ErrorKind::WriteZero);
+            return Err(StorageError::io("write", path)(error));
+        }
+        rest = &rest[count..];
+    }
+    disk.sync(file).map_err(StorageError::io("sync", path))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! that tests drive every machine on virtual time.
 
 pub mod collections;
+pub mod consensus;
 pub mod event;
 pub mod failure;
 pub mod machine;
