--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod broker;
 pub mod collections;
+pub mod consensus;
 pub mod event;
 pub mod failure;
 pub mod floor;
