--- /dev/null
+++ b/crates/control/src/handle.rs
@@ -0,0 +1,167 @@
+//! Starting and stopping a control replica.
+
+use {
+    crate::{
+        admin::{self, AdminError, TokenTable},
+        command_log::CommandLog,
+        forward::LeaderClient,
+        leader,
+        members::{MemberControl, SoloMembers},
+        node::ControlNode,
+        service::ControlService,
+        settings::ControlSettings,
+        solo_log::SoloLog,
+    },
+    banyansill_core::{
+        cluster::ClusterState, event::EventNumber, names::SharedName, sheet::SHEET_LIMIT,
+    },
+    banyansill_runtime::{events::EventSink, server::ServerHandle},
+    banyansill_wire::v1::control_server::ControlServer,
+    miette::Diagnostic,
+    std::{io, net::SocketAddr, time::Duration},
+    thiserror::Error,
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time},
+    tonic::transport::{Server, server::TcpIncoming},
+};
+
+/// Largest message of the control service; a sheet plus its labels.
+const MESSAGE_LIMIT: usize = SHEET_LIMIT + 64 * 1024;
+
+/// Time that open requests have to finish when the process stops.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// A control replica that cannot be started.
+#[derive(Debug, Error, Diagnostic)]
+pub enum SpawnError {
+    /// A listener cannot be opened.
+    #[error("listener {address}: {source}")]
+    #[diagnostic(code(banyansill::control::listen))]
+    Listen {
+        /// Address of the listener.
+        address: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The HTTP server cannot be started.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Admin(#[from] AdminError),
+}
+
+/// Running control replica.
+#[derive(Debug)]
+#[must_use]
+pub struct ControlHandle {
+    host: SharedName,
+    address: SocketAddr,
+    http: SocketAddr,
+    events: EventSink,
+    stop: watch::Sender<bool>,
+    service: JoinHandle<()>,
+    leader: JoinHandle<()>,
+    admin: ServerHandle,
+}
+
+impl ControlHandle {
+    /// Returns the address of the tonic listener.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the HTTP listener.
+    #[must_use]
+    pub const fn http_address(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Stops the servers after their open requests, within a limit.
+    pub async fn stop(mut self) {
+        let fields = [("binary", "banyansill-control".to_owned())];
+        self.events.record(EventNumber::ProcessStopping, &fields);
+        let _ = self.stop.send(true);
+        if time::timeout(STOP_LIMIT, &mut self.service).await.is_err() {
+            self.service.abort();
+        }
+        self.leader.abort();
+        self.admin.stop(true).await;
+        self.events.record(EventNumber::ProcessStopped, &fields);
+        log::info!("control {} stopped", self.host);
+    }
+}
+
+/// Starts a control replica whose state is kept in memory.
+///
+/// # Errors
+///
+/// Returns an error if a listener cannot be opened or the token file is not valid.
+pub async fn spawn(settings: ControlSettings) -> Result<ControlHandle, SpawnError> {
+    log::warn!("the state is kept in memory only and ends with the process");
+    let listener = listen(settings.listen).await?;
+    let address = advertised(&settings, &listener)?;
+    let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
+    let members = SoloMembers { host: settings.host.clone(), address };
+    spawn_with(settings, listener, log, members).await
+}
+
+/// Opens the tonic listener.
+///
+/// # Errors
+///
+/// Returns an error if the address is not available.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, SpawnError> {
+    TcpListener::bind(address).await.map_err(|source| SpawnError::Listen { address, source })
+}
+
+fn advertised(settings: &ControlSettings, listener: &TcpListener) -> Result<String, SpawnError> {
+    let bound = listener
+        .local_addr()
+        .map_err(|source| SpawnError::Listen { address: settings.listen, source })?;
+    Ok(settings.address.unwrap_or(bound).to_string())
+}
+
+/// Starts the servers of a control replica on a given log.
+///
+/// # Errors
+///
+/// Returns an error if a listener cannot be opened or the token file is not valid.
+pub async fn spawn_with<L, M>(
+    settings: ControlSettings,
+    listener: TcpListener,
+    log: L,
+    members: M,
+) -> Result<ControlHandle, SpawnError>
+where
+    L: CommandLog<Machine = ClusterState>,
+    M: MemberControl,
+{
+    let events = EventSink::new(settings.host.clone());
+    let tokens = match &settings.tokens {
+        Some(path) => TokenTable::load(path)?,
+        None => TokenTable::default(),
+    };
+    let address = listener
+        .local_addr()
+        .map_err(|source| SpawnError::Listen { address: settings.listen, source })?;
+    let node = ControlNode::new(log, members, events.clone());
+    let client = LeaderClient::default();
+    let (http, admin) = admin::spawn(settings.http, node.clone(), client.clone(), tokens).await?;
+    let leader = tokio::spawn(leader::run(node.clone()));
+    let (stop, mut stopping) = watch::channel(false);
+    let service = ControlServer::new(ControlService::new(node, client))
+        .max_decoding_message_size(MESSAGE_LIMIT);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let service = tokio::spawn(async move {
+        let stopped = async move {
+            let _ = stopping.wait_for(|stop| *stop).await;
+        };
+        let server = Server::builder().add_service(service);
+        if let Err(error) = server.serve_with_incoming_shutdown(incoming, stopped).await {
+            log::error!("control service: {error}");
+        }
+    });
+    let fields = [("binary", "banyansill-control".to_owned()), ("address", address.to_string())];
+    events.record(EventNumber::ProcessReady, &fields);
+    let host = settings.host;
+    Ok(ControlHandle { host, address, http, events, stop, service, leader, admin })
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,3 +1,19 @@
 //! Control process: durable replicated state, membership, sheet and promotion.
 
+pub mod admin;
 pub mod command_log;
+pub mod event;
+pub mod forward;
+pub mod handle;
+pub mod leader;
+pub mod members;
+pub mod node;
+pub mod service;
+pub mod settings;
+pub mod solo_log;
+pub mod view;
+pub mod watch;
+
+pub use handle::{ControlHandle, spawn};
+
+use event::record_event;
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,418 @@
+//! What a control replica does for entries, targets and operators, whatever the protocol.
+
+use {
+    crate::{
+        command_log::{CommandLog, LogError},
+        members::MemberControl,
+        view,
+    },
+    banyansill_core::{
+        cluster::{
+            BrokerRef, ClusterCommand, ClusterRejection, ClusterReply, ClusterState, EntryInfo,
+        },
+        detector::LivenessTable,
+        names::SharedName,
+        sheet::{RuleSheet, SheetFault},
+        time::Micros,
+    },
+    banyansill_runtime::{clock::MonotonicClock, events::EventSink},
+    banyansill_wire::v1,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thiserror::Error,
+    tokio::sync::Notify,
+};
+
+/// Longest request identifier or operator name, in bytes.
+const LABEL_LIMIT: usize = 128;
+
+/// Longest name or address of a host, database or server, in bytes.
+const NAME_LIMIT: usize = 256;
+
+/// Why a request was not served.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum NodeError {
+    /// The replicated log did not answer.
+    #[error(transparent)]
+    Log(#[from] LogError),
+    /// The request is not valid.
+    #[error("{0}")]
+    Invalid(String),
+    /// The cluster state rejects the request.
+    #[error(transparent)]
+    Rejected(ClusterRejection),
+}
+
+/// Why a sheet was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SheetOutcome {
+    /// Accepted at this version.
+    Accepted(u64),
+    /// Another sheet takes precedence.
+    Conflict(String),
+    /// The content is not valid.
+    Faults(Vec<SheetFault>),
+}
+
+/// The leader's observations, valid for one consensus term.
+#[derive(Debug)]
+pub(crate) struct LeaderTable {
+    /// Consensus term of the leadership.
+    pub(crate) term: u64,
+    /// Observations since it began.
+    pub(crate) table: LivenessTable,
+}
+
+/// One control replica; clones share it.
+#[derive(Clone, Debug)]
+pub struct ControlNode<L, M> {
+    pub(crate) log: L,
+    pub(crate) members: M,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) events: EventSink,
+    pub(crate) leader: Arc<Mutex<Option<LeaderTable>>>,
+    /// Wakes the leader's task before its next tick.
+    pub(crate) wake: Arc<Notify>,
+}
+
+impl<L, M> ControlNode<L, M>
+where
+    L: CommandLog<Machine = ClusterState>,
+    M: MemberControl,
+{
+    /// Creates a node on a replicated log.
+    #[must_use]
+    pub fn new(log: L, members: M, events: EventSink) -> Self {
+        Self {
+            log,
+            members,
+            clock: MonotonicClock::start(),
+            events,
+            leader: Arc::new(Mutex::new(None)),
+            wake: Arc::new(Notify::new()),
+        }
+    }
+
+    /// Answers a heartbeat; the lease is renewed only after the leadership was confirmed by a round
+    /// that began after the reception.
+    pub async fn heartbeat(&self, request: v1::HeartbeatRequest) -> v1::HeartbeatReply {
+        let received = self.clock.now();
+        let sequence = request.sequence;
+        let mut reply = v1::HeartbeatReply { sequence, ..v1::HeartbeatReply::default() };
+        if let Err(error) = self.renew(received, &request, &mut reply).await {
+            reply.renewed = false;
+            reply.reason = error.to_string();
+            if let NodeError::Log(LogError::NotLeader { leader }) = error {
+                reply.leader = leader.unwrap_or_default();
+            }
+        }
+        reply
+    }
+
+    async fn renew(
+        &self,
+        received: Micros,
+        request: &v1::HeartbeatRequest,
+        reply: &mut v1::HeartbeatReply,
+    ) -> Result<(), NodeError> {
+        self.check_leading()?;
+        let Some(entry) = &request.entry else {
+            return Err(NodeError::Invalid("the heartbeat names no entry".to_owned()));
+        };
+        check_names(&[&entry.host, &entry.address, &entry.caller_address, &entry.zone])?;
+        let info = view::entry_info(entry);
+        let holder = BrokerRef { host: info.host.clone(), incarnation: info.incarnation };
+        let heartbeat = view::heartbeat(request, &info);
+        let urgent = self.with_table(|table| table.heartbeat(received, heartbeat))?;
+        if !self.is_member(info.clone()).await? {
+            self.propose(ClusterCommand::JoinEntry { entry: info }).await?;
+        }
+        if urgent {
+            self.wake.notify_one();
+        }
+        self.log.confirm().await?;
+        let leader = Arc::clone(&self.leader);
+        let clock = self.clock;
+        let (version, sheet, result) = self
+            .log
+            .inspect(move |state| {
+                let mut leader = lock(&leader);
+                let result = leader
+                    .as_mut()
+                    .map(|leader| leader.table.renew(state, &holder, received, clock.now()));
+                (state.version(), state.sheet().map_or(0, |record| record.number), result)
+            })
+            .await?;
+        reply.version = version;
+        reply.sheet_number = sheet;
+        match result {
+            Some(Ok(())) => reply.renewed = true,
+            Some(Err(refusal)) => reply.reason = refusal.to_string(),
+            None => reply.reason = "the leadership ended".to_owned(),
+        }
+        Ok(())
+    }
+
+    async fn is_member(&self, info: EntryInfo) -> Result<bool, NodeError> {
+        let recorded = self
+            .log
+            .inspect(move |state| {
+                let record = state.entries().get(&info.host);
+                record.is_some_and(|record| record.live && record.info == info)
+            })
+            .await?;
+        Ok(recorded)
+    }
+
+    /// Takes an announcement on the leader and returns the term and primary in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this replica does not lead, or the announcement is malformed or outdated.
+    pub async fn announce(
+        &self,
+        announcement: v1::Announcement,
+    ) -> Result<v1::AnnounceReply, NodeError> {
+        self.check_leading()?;
+        check_announcement(&announcement)?;
+        let now = self.clock.now();
+        let database = SharedName::from(announcement.database.as_str());
+        let server = SharedName::from(announcement.server.as_str());
+        let info = view::target_info(&announcement);
+        let recorded = {
+            let (database, server, info) = (database.clone(), server.clone(), info.clone());
+            self.log
+                .inspect(move |state| {
+                    state.target(&database, &server).is_some_and(|target| target.info == info)
+                })
+                .await?
+        };
+        if !recorded {
+            let (database, server) = (database.clone(), server.clone());
+            self.propose(ClusterCommand::RecordTarget { database, server, info }).await?;
+        }
+        let heard = view::target_announcement(&announcement);
+        self.with_table(|table| table.announce(now, (database.clone(), server), heard))?;
+        if !recorded {
+            self.wake.notify_one();
+        }
+        let reply = self
+            .log
+            .inspect(move |state| {
+                let group = state.databases().get(&database)?;
+                let primary = group.primary.as_ref().map(ToString::to_string);
+                Some((group.term, primary.unwrap_or_default()))
+            })
+            .await?;
+        let (term, primary) = reply.unwrap_or_default();
+        Ok(v1::AnnounceReply { term, primary })
+    }
+
+    /// Checks a sheet and proposes its acceptance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request is malformed or the log does not answer; after
+    /// `LogError::Unknown` a resend with the same identifier learns the outcome.
+    pub async fn apply_sheet(
+        &self,
+        request: v1::ApplySheetRequest,
+    ) -> Result<SheetOutcome, NodeError> {
+        check_label("request_id", &request.request_id)?;
+        check_label("operator", &request.operator)?;
+        if request.number == 0 {
+            return Err(NodeError::Invalid("a sheet's number is at least 1".to_owned()));
+        }
+        if let Err(faults) = RuleSheet::parse(&request.content) {
+            return Ok(SheetOutcome::Faults(faults));
+        }
+        let content = String::from_utf8(request.content.to_vec())
+            .map_err(|_| NodeError::Invalid("the sheet is not UTF-8".to_owned()))?;
+        let command = ClusterCommand::ApplySheet {
+            number: request.number,
+            content,
+            operator: request.operator,
+            request_id: request.request_id,
+        };
+        match self.propose(command).await {
+            Ok((version, _)) => {
+                self.wake.notify_one();
+                Ok(SheetOutcome::Accepted(version))
+            }
+            Err(NodeError::Rejected(rejection)) => {
+                Ok(SheetOutcome::Conflict(rejection.to_string()))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Sets or clears an operator's drain mark and returns whether it changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry or target is unknown or the log does not answer.
+    pub async fn drain(&self, request: v1::DrainRequest) -> Result<bool, NodeError> {
+        check_label("request_id", &request.request_id)?;
+        check_names(&[&request.name])?;
+        let (drain, request_id) = (request.drain, request.request_id);
+        let command = match request.scope.as_str() {
+            "entry" => ClusterCommand::DrainEntry { host: request.name.into(), drain, request_id },
+            "target" => ClusterCommand::DrainTarget {
+                database: request.database.into(),
+                server: request.name.into(),
+                drain,
+                request_id,
+            },
+            other => {
+                let message = format!("scope {other:?} is not one of entry, target");
+                return Err(NodeError::Invalid(message));
+            }
+        };
+        let (_, changed) = self.propose(command).await?;
+        self.wake.notify_one();
+        Ok(changed)
+    }
+
+    /// Returns the state as this replica has applied it, without a confirmation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the replica has stopped.
+    pub async fn status(&self) -> Result<v1::StatusReply, NodeError> {
+        let role = self.log.status().borrow().clone();
+        let leader = Arc::clone(&self.leader);
+        let now = self.clock.now();
+        let mut reply = self
+            .log
+            .inspect(move |state| {
+                let leader = lock(&leader);
+                status_reply(state, leader.as_ref().map(|leader| &leader.table), now)
+            })
+            .await?;
+        reply.leader = role.leader.unwrap_or_default();
+        reply.consensus_term = role.term;
+        reply.replicas = self.members.replicas().await;
+        Ok(reply)
+    }
+
+    /// Returns the accepted sheets after confirming the leadership.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this replica does not lead or no majority answers.
+    pub async fn sheet_history(&self) -> Result<Vec<v1::SheetRecord>, NodeError> {
+        self.log.confirm().await?;
+        let records = self.log.inspect(ClusterState::sheet_history).await?;
+        Ok(records.into_iter().map(view::sheet_record).collect())
+    }
+
+    /// Proposes a command and returns its version and whether it changed the state.
+    pub(crate) async fn propose(&self, command: ClusterCommand) -> Result<(u64, bool), NodeError> {
+        let (_, reply) = self.log.propose(command.encode()).await?;
+        match reply {
+            ClusterReply::Done { version, changed } => {
+                if changed {
+                    crate::record_event(&self.events, &command, version);
+                }
+                Ok((version, changed))
+            }
+            ClusterReply::Rejected(rejection) => Err(NodeError::Rejected(rejection)),
+        }
+    }
+
+    /// Returns an error with the leader's address if this replica does not lead.
+    ///
+    /// # Errors
+    ///
+    /// Returns `LogError::NotLeader`.
+    pub fn check_leading(&self) -> Result<(), NodeError> {
+        let status = self.log.status();
+        let status = status.borrow();
+        if status.leading {
+            return Ok(());
+        }
+        Err(NodeError::Log(LogError::NotLeader { leader: status.leader.clone() }))
+    }
+
+    /// Runs a function on the observations of the present leadership.
+    pub(crate) fn with_table<T, F>(&self, function: F) -> Result<T, NodeError>
+    where
+        F: FnOnce(&mut LivenessTable) -> T,
+    {
+        let term = self.log.status().borrow().term;
+        let mut leader = lock(&self.leader);
+        match leader.as_mut() {
+            Some(leader) if leader.term == term => Ok(function(&mut leader.table)),
+            _ => Err(NodeError::Log(LogError::NotLeader { leader: None })),
+        }
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn status_reply(
+    state: &ClusterState,
+    table: Option<&LivenessTable>,
+    now: Micros,
+) -> v1::StatusReply {
+    let mut databases = Vec::new();
+    for (name, group) in state.databases() {
+        databases.push(view::database_view(state, name, group));
+    }
+    let mut entries = Vec::new();
+    for (host, record) in state.entries() {
+        let holder = BrokerRef { host: host.clone(), incarnation: record.info.incarnation };
+        let seen = table.and_then(|table| table.entry(&holder, now)).unwrap_or_default();
+        entries.push(v1::EntryStatus {
+            entry: Some(view::entry_view(record)),
+            sheet_number: seen.sheet_number,
+            applied_version: seen.applied_version,
+            silent_ms: u32::try_from(seen.silent.as_millis()).unwrap_or(u32::MAX),
+            live: record.live,
+        });
+    }
+    v1::StatusReply {
+        version: state.version(),
+        databases,
+        sheet: view::sheet_view(state),
+        entries,
+        ..v1::StatusReply::default()
+    }
+}
+
+fn check_announcement(announcement: &v1::Announcement) -> Result<(), NodeError> {
+    let names = [&announcement.database, &announcement.server, &announcement.address];
+    for name in names {
+        if name.is_empty() {
+            let message = "database, server and address must not be empty";
+            return Err(NodeError::Invalid(message.to_owned()));
+        }
+    }
+    check_names(&names)?;
+    check_names(&[&announcement.replication_address, &announcement.region, &announcement.zone])?;
+    for address in [&announcement.address, &announcement.replication_address] {
+        if !address.is_empty() && address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(NodeError::Invalid(format!("{address:?} is not an IP address and port")));
+        }
+    }
+    Ok(())
+}
+
+fn check_names(names: &[&String]) -> Result<(), NodeError> {
+    for name in names {
+        if name.len() > NAME_LIMIT || name.chars().any(char::is_control) {
+            let message = format!("names are at most {NAME_LIMIT} bytes of printable text");
+            return Err(NodeError::Invalid(message));
+        }
+    }
+    Ok(())
+}
+
+fn check_label(field: &str, label: &str) -> Result<(), NodeError> {
+    if label.len() > LABEL_LIMIT || label.chars().any(char::is_control) {
+        let message = format!("{field} is at most {LABEL_LIMIT} bytes of printable text");
+        return Err(NodeError::Invalid(message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,155 @@
+//! The tonic `Control` service.
+
+use {
+    crate::{
+        command_log::{CommandLog, LogError},
+        forward::LeaderClient,
+        members::MemberControl,
+        node::{ControlNode, NodeError, SheetOutcome},
+        watch,
+    },
+    banyansill_core::cluster::ClusterState,
+    banyansill_wire::v1::{self, control_server::Control},
+    tokio::sync::mpsc,
+    tokio_stream::wrappers::ReceiverStream,
+    tonic::{Code, Request, Response, Status, metadata::MetadataValue},
+};
+
+/// Metadata key under which a refusal names the leader's tonic address.
+pub const LEADER_KEY: &str = "banyansill-leader";
+
+/// The tonic service of one control replica.
+#[derive(Clone, Debug)]
+pub struct ControlService<L, M> {
+    node: ControlNode<L, M>,
+    client: LeaderClient,
+}
+
+impl<L, M> ControlService<L, M> {
+    /// Creates the service of a node.
+    #[must_use]
+    pub const fn new(node: ControlNode<L, M>, client: LeaderClient) -> Self {
+        Self { node, client }
+    }
+}
+
+impl From<NodeError> for Status {
+    fn from(error: NodeError) -> Self {
+        let text = error.to_string();
+        match error {
+            NodeError::Invalid(_) => Self::invalid_argument(text),
+            NodeError::Rejected(_) => Self::failed_precondition(text),
+            NodeError::Log(LogError::NotLeader { leader }) => {
+                let mut status = Self::unavailable(text);
+                let value = leader.and_then(|leader| MetadataValue::try_from(leader).ok());
+                if let Some(value) = value {
+                    status.metadata_mut().insert(LEADER_KEY, value);
+                }
+                status
+            }
+            NodeError::Log(LogError::Unknown) => Self::new(Code::Unknown, text),
+            NodeError::Log(LogError::NoMajority | LogError::Stopped(_)) => Self::unavailable(text),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl<L, M> Control for ControlService<L, M>
+where
+    L: CommandLog<Machine = ClusterState>,
+    M: MemberControl,
+{
+    type WatchStream = ReceiverStream<Result<v1::WatchReply, Status>>;
+
+    async fn heartbeat(
+        &self,
+        request: Request<v1::HeartbeatRequest>,
+    ) -> Result<Response<v1::HeartbeatReply>, Status> {
+        Ok(Response::new(self.node.heartbeat(request.into_inner()).await))
+    }
+
+    async fn watch(
+        &self,
+        request: Request<v1::WatchRequest>,
+    ) -> Result<Response<Self::WatchStream>, Status> {
+        let (sender, receiver) = mpsc::channel(watch::WATCH_DEPTH);
+        let since = request.into_inner().since_version;
+        tokio::spawn(watch::run(self.node.log.clone(), since, sender));
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn announce(
+        &self,
+        request: Request<v1::AnnounceRequest>,
+    ) -> Result<Response<v1::AnnounceReply>, Status> {
+        let request = request.into_inner();
+        let Some(announcement) = request.announcement else {
+            return Err(Status::invalid_argument("the announcement is missing"));
+        };
+        let reply = if request.forwarded {
+            self.node.announce(announcement).await?
+        } else {
+            self.client.announce(&self.node, announcement).await?
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn apply_sheet(
+        &self,
+        request: Request<v1::ApplySheetRequest>,
+    ) -> Result<Response<v1::ApplySheetReply>, Status> {
+        let mut reply = v1::ApplySheetReply::default();
+        match self.node.apply_sheet(request.into_inner()).await? {
+            SheetOutcome::Accepted(version) => {
+                reply.accepted = true;
+                reply.version = version;
+            }
+            SheetOutcome::Conflict(winner) => reply.conflict = winner,
+            SheetOutcome::Faults(faults) => {
+                for fault in faults {
+                    reply.faults.push(v1::SheetFault {
+                        row: fault.row,
+                        column: fault.column,
+                        message: fault.message,
+                    });
+                }
+            }
+        }
+        Ok(Response::new(reply))
+    }
+
+    async fn sheet_history(
+        &self,
+        _request: Request<v1::SheetHistoryRequest>,
+    ) -> Result<Response<v1::SheetHistoryReply>, Status> {
+        let records = self.node.sheet_history().await?;
+        Ok(Response::new(v1::SheetHistoryReply { records }))
+    }
+
+    async fn drain(
+        &self,
+        request: Request<v1::DrainRequest>,
+    ) -> Result<Response<v1::DrainReply>, Status> {
+        let changed = self.node.drain(request.into_inner()).await?;
+        let detail = if changed { "changed" } else { "unchanged" };
+        Ok(Response::new(v1::DrainReply { changed, detail: detail.to_owned() }))
+    }
+
+    async fn status(
+        &self,
+        _request: Request<v1::StatusRequest>,
+    ) -> Result<Response<v1::StatusReply>, Status> {
+        Ok(Response::new(self.node.status().await?))
+    }
+
+    async fn change_member(
+        &self,
+        request: Request<v1::MemberRequest>,
+    ) -> Result<Response<v1::MemberReply>, Status> {
+        let request = request.into_inner();
+        let (host, address) = (request.host.as_str().into(), request.address);
+        let changed = self.node.members.change_member(host, address, request.add).await;
+        let detail = changed.map_err(NodeError::Log)?;
+        Ok(Response::new(v1::MemberReply { done: true, detail }))
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,110 @@
+//! Settings of a control replica.
+
+use {
+    banyansill_core::names::SharedName,
+    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    std::{
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        path::PathBuf,
+    },
+};
+
+/// Another control replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Host name.
+    pub host: SharedName,
+    /// Address of its tonic listener.
+    pub address: SocketAddr,
+}
+
+/// Settings of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Host name, unique among the control replicas.
+    pub host: SharedName,
+    /// Region of the host.
+    pub region: SharedName,
+    /// Availability zone of the host.
+    pub zone: SharedName,
+    /// Address of the tonic listener.
+    pub listen: SocketAddr,
+    /// Address at which other hosts reach the tonic listener; the listener's own by default.
+    pub address: Option<SocketAddr>,
+    /// Address of the HTTP listener.
+    pub http: SocketAddr,
+    /// Folder for the replicated log; without one the state is lost when the process ends.
+    pub data: Option<PathBuf>,
+    /// All control replicas at the first start, this one included; empty for a single replica.
+    pub replicas: Vec<PeerSettings>,
+    /// Whether this replica joins an existing cluster instead of forming a new one.
+    pub join: bool,
+    /// File with one operator token per line; without one the HTTP sheet interface is closed.
+    pub tokens: Option<PathBuf>,
+    /// Log levels such as `info` or `info,event=warn`.
+    pub log: String,
+    /// Folder for log files; standard error without one.
+    pub log_folder: Option<PathBuf>,
+    /// Address of a statsd server.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl SettingsSource for PeerSettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        Self {
+            host: reader.string("host").into(),
+            address: reader.parsed("address").unwrap_or(ANY),
+        }
+    }
+}
+
+impl SettingsSource for ControlSettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let settings = Self {
+            host: reader.string("host").into(),
+            region: reader.string("region").into(),
+            zone: reader.string("zone").into(),
+            listen: reader.parsed("listen").unwrap_or(ANY),
+            address: reader.optional_parsed("address"),
+            http: reader.parsed("http").unwrap_or(ANY),
+            data: reader.optional_path("data"),
+            replicas: reader.objects("replicas"),
+            join: reader.boolean("join", false),
+            tokens: reader.optional_path("tokens"),
+            log: reader.optional_string("log").unwrap_or_else(|| "info".to_owned()),
+            log_folder: reader.optional_path("log_folder"),
+            statsd: reader.optional_parsed("statsd"),
+        };
+        settings.check_replicas(reader);
+        settings
+    }
+}
+
+impl ControlSettings {
+    fn check_replicas(&self, reader: &mut SettingsReader<'_>) {
+        for (index, replica) in self.replicas.iter().enumerate() {
+            let earlier = &self.replicas[..index];
+            if earlier.iter().any(|other| other.host == replica.host) {
+                reader.fault("replicas", &format!("host {} is listed twice", replica.host));
+            }
+            if earlier.iter().any(|other| other.address == replica.address) {
+                reader.fault("replicas", &format!("address {} is listed twice", replica.address));
+            }
+        }
+        if self.replicas.is_empty() {
+            return;
+        }
+        if !self.join && !self.replicas.iter().any(|replica| replica.host == self.host) {
+            reader.fault("replicas", &format!("does not list this host, {}", self.host));
+        }
+        if !self.join && self.replicas.len().is_multiple_of(2) {
+            reader.fault("replicas", "must be an odd number of hosts");
+        }
+        if self.data.is_none() {
+            reader.fault("data", "is missing although replicas are listed");
+        }
+    }
+}
+
+/// Stands in for an address that could not be read.
+const ANY: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
--- /dev/null
+++ b/crates/control/src/solo_log.rs
@@ -0,0 +1,96 @@
+//! A command log of a single replica in memory, for trials and tests.
+
+use {
+    crate::command_log::{CommandLog, LogError, LogStatus},
+    banyansill_core::machine::StateMachine,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::watch,
+};
+
+struct SoloState<M> {
+    machine: M,
+    index: u64,
+}
+
+/// Command log that always leads and keeps nothing across restarts; clones share the state.
+pub struct SoloLog<M> {
+    state: Arc<Mutex<SoloState<M>>>,
+    status: Arc<watch::Sender<LogStatus>>,
+}
+
+impl<M> Clone for SoloLog<M> {
+    fn clone(&self) -> Self {
+        Self { state: Arc::clone(&self.state), status: Arc::clone(&self.status) }
+    }
+}
+
+impl<M> SoloLog<M>
+where
+    M: StateMachine,
+{
+    /// Creates a log that leads; `address` is its own tonic address.
+    #[must_use]
+    pub fn new(machine: M, address: Option<String>) -> Self {
+        let status = LogStatus { term: 1, leading: true, leader: address, applied: 0 };
+        let (status, _) = watch::channel(status);
+        let state = SoloState { machine, index: 0 };
+        Self { state: Arc::new(Mutex::new(state)), status: Arc::new(status) }
+    }
+
+    /// Replaces the role that the log reports; a log that does not lead refuses commands.
+    pub fn set_role(&self, term: u64, leading: bool, leader: Option<String>) {
+        self.status.send_modify(|status| {
+            status.term = term;
+            status.leading = leading;
+            status.leader = leader;
+        });
+    }
+
+    fn check_leading(&self) -> Result<(), LogError> {
+        let status = self.status.borrow();
+        if status.leading {
+            return Ok(());
+        }
+        Err(LogError::NotLeader { leader: status.leader.clone() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SoloState<M>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<M> CommandLog for SoloLog<M>
+where
+    M: StateMachine,
+{
+    type Machine = M;
+
+    async fn propose(&self, command: Vec<u8>) -> Result<(u64, M::Response), LogError> {
+        self.check_leading()?;
+        let (index, response) = {
+            let mut state = self.lock();
+            state.index += 1;
+            let index = state.index;
+            (index, state.machine.apply(index, &command))
+        };
+        self.status.send_modify(|status| status.applied = status.applied.max(index));
+        Ok((index, response))
+    }
+
+    async fn confirm(&self) -> Result<u64, LogError> {
+        self.check_leading()?;
+        Ok(self.lock().index)
+    }
+
+    async fn inspect<T, F>(&self, function: F) -> Result<T, LogError>
+    where
+        T: Send + 'static,
+        F: FnOnce(&M) -> T + Send + 'static,
+    {
+        Ok(function(&self.lock().machine))
+    }
+
+    fn status(&self) -> watch::Receiver<LogStatus> {
+        self.status.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/core/src/cluster/apply.rs
@@ -0,0 +1,549 @@
+//! Effects of the commands.
+
+use {
+    super::{
+        ClusterState,
+        change::ChangedItem,
+        command::{ClusterCommand, ClusterRejection, ClusterReply},
+        record::{
+            BrokerRef, CandidateRecord, DatabaseRecord, EntryInfo, EntryRecord, SheetRecord,
+            TargetInfo, TargetRecord, TermRecord,
+        },
+        sheets::sheet_digest,
+    },
+    crate::{names::SharedName, position::LogPosition},
+};
+
+/// Terms of a group's history that are kept; a session floor from an older term is refused.
+const HISTORY_KEPT: usize = 64;
+
+/// Expired entries that stay recorded, so that their older incarnations are recognized.
+const EXPIRED_KEPT: usize = 4_096;
+
+type Outcome = Result<bool, ClusterRejection>;
+
+impl ClusterState {
+    pub(super) fn apply_command(&mut self, index: u64, command: ClusterCommand) -> ClusterReply {
+        let outcome = match command {
+            ClusterCommand::JoinEntry { entry } => self.join_entry(index, entry),
+            ClusterCommand::ExpireEntry { host, expected_version } => {
+                self.expire_entry(index, &host, expected_version)
+            }
+            ClusterCommand::DrainEntry { host, drain, request_id } => {
+                return self.answer_once(index, request_id, |state| {
+                    state.drain_entry(index, &host, drain)
+                });
+            }
+            ClusterCommand::RecordTarget { database, server, info } => {
+                self.record_target(index, database, server, info)
+            }
+            ClusterCommand::SetTargetLive { database, server, expected_version, live } => {
+                self.set_target_live(index, &database, &server, expected_version, live)
+            }
+            ClusterCommand::DrainTarget { database, server, drain, request_id } => {
+                return self.answer_once(index, request_id, |state| {
+                    state.drain_target(index, &database, &server, drain)
+                });
+            }
+            ClusterCommand::ForgetTarget { database, server, expected_version } => {
+                self.forget_target(index, &database, &server, expected_version)
+            }
+            ClusterCommand::AssignBroker { database, server, expected_epoch, broker } => {
+                self.assign_broker(index, &database, &server, expected_epoch, broker)
+            }
+            ClusterCommand::AdoptPrimary { database, server, incarnation, term, start } => self
+                .adopt_primary(index, &database, server, incarnation, TermRecord { term, start }),
+            ClusterCommand::CloseTerm { database, expected_term, planned } => {
+                self.close_term(index, &database, expected_term, planned)
+            }
+            ClusterCommand::ChooseCandidate {
+                database,
+                expected_term,
+                expected_candidate_term,
+                candidate,
+                incarnation,
+                position,
+            } => {
+                let candidate = CandidateRecord { server: candidate, incarnation, position };
+                self.choose_candidate(
+                    index,
+                    &database,
+                    (expected_term, expected_candidate_term),
+                    candidate,
+                )
+            }
+            ClusterCommand::Promote { database, expected_term, candidate, term, start } => self
+                .promote(index, &database, expected_term, &candidate, TermRecord { term, start }),
+            ClusterCommand::ApplySheet { number, content, operator, request_id } => {
+                return self.apply_sheet(index, number, content, operator, request_id);
+            }
+        };
+        self.reply(index, outcome)
+    }
+
+    fn reply(&self, index: u64, outcome: Outcome) -> ClusterReply {
+        match outcome {
+            Ok(true) => ClusterReply::Done { version: index, changed: true },
+            Ok(false) => ClusterReply::Done { version: self.data.version, changed: false },
+            Err(rejection) => ClusterReply::Rejected(rejection),
+        }
+    }
+
+    fn answer_once<F>(&mut self, index: u64, request_id: String, change: F) -> ClusterReply
+    where
+        F: FnOnce(&mut Self) -> Outcome,
+    {
+        if let Some(answer) = self.data.requests.find(&request_id) {
+            return answer;
+        }
+        let outcome = change(self);
+        let answer = self.reply(index, outcome);
+        self.data.requests.keep(request_id, answer.clone());
+        answer
+    }
+
+    fn touch(&mut self, version: u64, item: ChangedItem) {
+        self.data.version = version;
+        self.changes.push(version, item);
+    }
+
+    fn touch_brokered(&mut self, version: u64, host: &SharedName) {
+        let mut affected = Vec::new();
+        for (name, database) in &self.data.databases {
+            let mut brokers = database.targets.values().filter_map(|target| target.broker.as_ref());
+            if brokers.any(|broker| broker.host == *host) {
+                affected.push(name.clone());
+            }
+        }
+        for name in affected {
+            self.touch(version, ChangedItem::Database(name));
+        }
+    }
+
+    /// Ends all brokerships of an entry process, so that it cannot resume one when it returns.
+    fn end_brokerships(&mut self, version: u64, holder: &BrokerRef) {
+        let mut affected = Vec::new();
+        for (name, database) in &mut self.data.databases {
+            let mut changed = false;
+            for target in database.targets.values_mut() {
+                if target.releasing.as_ref() == Some(holder) {
+                    target.releasing = None;
+                }
+                if target.broker.as_ref() != Some(holder) {
+                    continue;
+                }
+                target.broker = None;
+                target.epoch += 1;
+                target.assigned_version = version;
+                changed = true;
+            }
+            if changed {
+                affected.push(name.clone());
+            }
+        }
+        for name in affected {
+            self.touch(version, ChangedItem::Database(name));
+        }
+    }
+
+    fn join_entry(&mut self, index: u64, info: EntryInfo) -> Outcome {
+        if info.host.is_empty() {
+            return Err(not_allowed("the host name is empty"));
+        }
+        let host = info.host.clone();
+        let mut drained = false;
+        let mut replaced = true;
+        let mut joined_version = index;
+        if let Some(record) = self.data.entries.get(&host) {
+            if info.incarnation < record.info.incarnation {
+                return Err(ClusterRejection::OldIncarnation { recorded: record.info.incarnation });
+            }
+            if record.live && record.info == info {
+                return Ok(false);
+            }
+            drained = record.drained;
+            replaced = !record.live
+                || record.info.incarnation != info.incarnation
+                || record.info.address != info.address;
+            if record.live && record.info.incarnation == info.incarnation {
+                joined_version = record.joined_version;
+            }
+        }
+        let record = EntryRecord { info, live: true, drained, joined_version, version: index };
+        self.data.entries.insert(host.clone(), record);
+        self.touch(index, ChangedItem::Entry(host.clone()));
+        if replaced {
+            self.touch_brokered(index, &host);
+        }
+        Ok(true)
+    }
+
+    fn expire_entry(&mut self, index: u64, host: &SharedName, expected: u64) -> Outcome {
+        let Some(record) = self.data.entries.get_mut(host) else { return Err(unknown("entry")) };
+        check("entry version", expected, record.version)?;
+        if !record.live {
+            return Ok(false);
+        }
+        record.live = false;
+        record.version = index;
+        let holder = BrokerRef { host: host.clone(), incarnation: record.info.incarnation };
+        self.touch(index, ChangedItem::Entry(host.clone()));
+        self.end_brokerships(index, &holder);
+        self.drop_expired_entries();
+        Ok(true)
+    }
+
+    fn drop_expired_entries(&mut self) {
+        let mut expired = Vec::new();
+        for (host, record) in &self.data.entries {
+            if !record.live {
+                expired.push((record.version, host.clone()));
+            }
+        }
+        expired.sort();
+        let excess = expired.len().saturating_sub(EXPIRED_KEPT);
+        for (_, host) in expired.into_iter().take(excess) {
+            self.data.entries.remove(&host);
+        }
+    }
+
+    fn drain_entry(&mut self, index: u64, host: &SharedName, drain: bool) -> Outcome {
+        let Some(record) = self.data.entries.get_mut(host) else { return Err(unknown("entry")) };
+        if record.drained == drain {
+            return Ok(false);
+        }
+        record.drained = drain;
+        record.version = index;
+        self.touch(index, ChangedItem::Entry(host.clone()));
+        Ok(true)
+    }
+
+    fn record_target(
+        &mut self,
+        index: u64,
+        database: SharedName,
+        server: SharedName,
+        info: TargetInfo,
+    ) -> Outcome {
+        if database.is_empty() || server.is_empty() || info.address.is_empty() {
+            return Err(not_allowed("database, server or address is empty"));
+        }
+        let mut previous = None;
+        if let Some(record) = self.target(&database, &server) {
+            if info.incarnation < record.info.incarnation {
+                return Err(ClusterRejection::OldIncarnation { recorded: record.info.incarnation });
+            }
+            if record.info == info {
+                return Ok(false);
+            }
+            previous = Some(record.info.clone());
+        }
+        self.claim_address(index, &database, &server, &info)?;
+        if let Some(previous) = previous
+            && previous.address != info.address
+            && self.addresses.get(&previous.address) == Some(&(database.clone(), server.clone()))
+        {
+            self.addresses.remove(&previous.address);
+        }
+        self.addresses.insert(info.address.clone(), (database.clone(), server.clone()));
+        let group = self.data.databases.entry(database.clone()).or_default();
+        let record = group.targets.entry(server).or_insert_with(|| TargetRecord {
+            info: TargetInfo::default(),
+            live: true,
+            drained: false,
+            broker: None,
+            releasing: None,
+            epoch: 0,
+            assigned_version: 0,
+            version: 0,
+        });
+        record.live = record.live || record.info.incarnation != info.incarnation;
+        record.info = info;
+        record.version = index;
+        self.touch(index, ChangedItem::Database(database));
+        Ok(true)
+    }
+
+    /// Takes an address over from a target with a lower incarnation, which then counts as gone.
+    fn claim_address(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: &SharedName,
+        info: &TargetInfo,
+    ) -> Result<(), ClusterRejection> {
+        let Some((other, name)) = self.addresses.get(&info.address).cloned() else {
+            return Ok(());
+        };
+        if other == *database && name == *server {
+            return Ok(());
+        }
+        let Some(group) = self.data.databases.get_mut(&other) else { return Ok(()) };
+        let Some(record) = group.targets.get_mut(&name) else { return Ok(()) };
+        if record.info.incarnation >= info.incarnation {
+            return Err(ClusterRejection::AddressTaken { holder: format!("{other}/{name}") });
+        }
+        record.live = false;
+        record.info.address = SharedName::default();
+        record.version = index;
+        self.touch(index, ChangedItem::Database(other));
+        Ok(())
+    }
+
+    fn set_target_live(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: &SharedName,
+        expected: u64,
+        live: bool,
+    ) -> Outcome {
+        let record = self.target_mut(database, server)?;
+        check("target version", expected, record.version)?;
+        if record.live == live {
+            return Ok(false);
+        }
+        if live && record.info.address.is_empty() {
+            return Err(not_allowed("the target's address belongs to another target"));
+        }
+        record.live = live;
+        record.version = index;
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn drain_target(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: &SharedName,
+        drain: bool,
+    ) -> Outcome {
+        let record = self.target_mut(database, server)?;
+        if record.drained == drain {
+            return Ok(false);
+        }
+        record.drained = drain;
+        record.version = index;
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn forget_target(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: &SharedName,
+        expected: u64,
+    ) -> Outcome {
+        let group = self.group_mut(database)?;
+        let named = group.candidate.as_ref().is_some_and(|candidate| candidate.server == *server);
+        if named || group.primary.as_ref() == Some(server) {
+            return Err(not_allowed("the target is the primary or a candidate"));
+        }
+        let record = self.target_mut(database, server)?;
+        check("target version", expected, record.version)?;
+        if record.live || !record.is_draining() {
+            return Err(not_allowed("the target has not left"));
+        }
+        let address = record.info.address.clone();
+        self.group_mut(database)?.targets.remove(server);
+        if self.addresses.get(&address) == Some(&(database.clone(), server.clone())) {
+            self.addresses.remove(&address);
+        }
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn assign_broker(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: &SharedName,
+        expected_epoch: u64,
+        broker: Option<BrokerRef>,
+    ) -> Outcome {
+        if let Some(broker) = &broker {
+            let Some(entry) = self.data.entries.get(&broker.host) else {
+                return Err(unknown("entry"));
+            };
+            check("entry incarnation", broker.incarnation, entry.info.incarnation)?;
+            if !entry.is_eligible() {
+                return Err(not_allowed("the entry is draining or not live"));
+            }
+        }
+        let record = self.target_mut(database, server)?;
+        check("epoch", expected_epoch, record.epoch)?;
+        record.releasing = match &broker {
+            // The proposer has seen the release or the end of the earlier holder's lease.
+            Some(_) => None,
+            None => record.broker.take().or_else(|| record.releasing.take()),
+        };
+        record.broker = broker;
+        record.epoch += 1;
+        record.assigned_version = index;
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn adopt_primary(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        server: SharedName,
+        incarnation: u64,
+        term: TermRecord,
+    ) -> Outcome {
+        let record = self.target_mut(database, &server)?;
+        check("target incarnation", incarnation, record.info.incarnation)?;
+        let group = self.group_mut(database)?;
+        check("term", 0, group.term)?;
+        if term.term == 0 {
+            return Err(not_allowed("term 0 has no primary"));
+        }
+        put_in_force(group, server, incarnation, term);
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn close_term(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        expected_term: u64,
+        planned: bool,
+    ) -> Outcome {
+        let group = self.group_mut(database)?;
+        check("term", expected_term, group.term)?;
+        if group.term == 0 {
+            return Err(not_allowed("no term is in force"));
+        }
+        // A planned close whose primary then fails becomes an unplanned one, never the reverse.
+        if group.closed && (planned || !group.planned) {
+            return Ok(false);
+        }
+        group.closed = true;
+        group.planned = planned;
+        group.closed_version = index;
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn choose_candidate(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        expected: (u64, u64),
+        candidate: CandidateRecord,
+    ) -> Outcome {
+        let record = self.target_mut(database, &candidate.server)?;
+        check("target incarnation", candidate.incarnation, record.info.incarnation)?;
+        let group = self.group_mut(database)?;
+        check("term", expected.0, group.term)?;
+        check("candidate term", expected.1, group.candidate_term)?;
+        if !group.closed {
+            return Err(not_allowed("the term is open"));
+        }
+        group.candidate_term = group.term.max(group.candidate_term) + 1;
+        group.candidate = Some(candidate);
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn promote(
+        &mut self,
+        index: u64,
+        database: &SharedName,
+        expected_term: u64,
+        server: &SharedName,
+        term: TermRecord,
+    ) -> Outcome {
+        let group = self.group_mut(database)?;
+        check("term", expected_term, group.term)?;
+        check("candidate term", term.term, group.candidate_term)?;
+        let Some(candidate) = &group.candidate else {
+            return Err(not_allowed("no candidate was chosen"));
+        };
+        if candidate.server != *server {
+            return Err(not_allowed("another candidate was chosen"));
+        }
+        let incarnation = candidate.incarnation;
+        put_in_force(group, server.clone(), incarnation, term);
+        self.touch(index, ChangedItem::Database(database.clone()));
+        Ok(true)
+    }
+
+    fn apply_sheet(
+        &mut self,
+        index: u64,
+        number: u64,
+        content: String,
+        operator: String,
+        request_id: String,
+    ) -> ClusterReply {
+        if let Some(answer) = self.data.requests.find(&request_id) {
+            return answer;
+        }
+        let digest = sheet_digest(content.as_bytes());
+        let record = SheetRecord {
+            number,
+            digest,
+            operator,
+            request_id: request_id.clone(),
+            version: index,
+        };
+        let answer = self.data.sheets.accept(record, content);
+        if matches!(answer, ClusterReply::Done { changed: true, .. }) {
+            self.touch(index, ChangedItem::Sheet);
+        }
+        self.data.requests.keep(request_id, answer.clone());
+        answer
+    }
+
+    fn group_mut(&mut self, database: &str) -> Result<&mut DatabaseRecord, ClusterRejection> {
+        self.data.databases.get_mut(database).ok_or_else(|| unknown("database"))
+    }
+
+    fn target_mut(
+        &mut self,
+        database: &str,
+        server: &str,
+    ) -> Result<&mut TargetRecord, ClusterRejection> {
+        self.group_mut(database)?.targets.get_mut(server).ok_or_else(|| unknown("target"))
+    }
+}
+
+fn put_in_force(
+    group: &mut DatabaseRecord,
+    server: SharedName,
+    incarnation: u64,
+    record: TermRecord,
+) {
+    let start = if record.start.term.0 < record.term { record.start } else { LogPosition::ZERO };
+    group.history.push(TermRecord { term: record.term, start });
+    if group.history.len() > HISTORY_KEPT {
+        group.history.remove(0);
+    }
+    group.term = record.term;
+    group.primary = Some(server);
+    group.primary_incarnation = incarnation;
+    group.closed = false;
+    group.planned = false;
+    group.candidate = None;
+    group.candidate_term = group.candidate_term.max(record.term);
+}
+
+fn check(what: &str, expected: u64, found: u64) -> Result<(), ClusterRejection> {
+    if expected == found {
+        return Ok(());
+    }
+    Err(ClusterRejection::Stale { what: what.to_owned(), expected, found })
+}
+
+fn unknown(what: &str) -> ClusterRejection {
+    ClusterRejection::Unknown { what: what.to_owned() }
+}
+
+fn not_allowed(detail: &str) -> ClusterRejection {
+    ClusterRejection::NotAllowed { detail: detail.to_owned() }
+}
--- /dev/null
+++ b/crates/core/src/cluster/mod.rs
@@ -0,0 +1,145 @@
+//! The replicated cluster state: members, database groups, terms, broker assignments and the sheet.
+//!
+//! Every command names the state that it was decided under and is rejected when that has changed, so
+//! repeated and racing decisions are harmless. The version of the state is the log index of the last
+//! command that changed it, and is equal on all replicas.
+
+mod apply;
+mod change;
+mod command;
+mod record;
+mod sheets;
+
+pub use {
+    change::{CHANGES_KEPT, ChangeSet, ChangedItem},
+    command::{ClusterCommand, ClusterRejection, ClusterReply},
+    record::{
+        BrokerRef, CandidateRecord, DatabaseRecord, EntryInfo, EntryRecord, SheetRecord,
+        TargetInfo, TargetRecord, TermRecord,
+    },
+    sheets::{REQUESTS_KEPT, SHEETS_KEPT, sheet_digest},
+};
+
+use {
+    crate::{
+        collections::FastMap,
+        machine::{SnapshotError, StateMachine},
+        names::SharedName,
+    },
+    change::ChangeList,
+    serde::{Deserialize, Serialize},
+    sheets::{RequestTable, SheetBook},
+    std::collections::BTreeMap,
+};
+
+/// The part of the state that snapshots hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct ClusterData {
+    version: u64,
+    entries: BTreeMap<SharedName, EntryRecord>,
+    databases: BTreeMap<SharedName, DatabaseRecord>,
+    sheets: SheetBook,
+    requests: RequestTable,
+}
+
+/// The replicated state machine of control.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterState {
+    data: ClusterData,
+    changes: ChangeList,
+    /// Holder of each target address; derived from `data`.
+    addresses: FastMap<SharedName, (SharedName, SharedName)>,
+}
+
+impl ClusterState {
+    /// Returns the log index of the last command that changed the state.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.data.version
+    }
+
+    /// Returns all entries, including those that are not live.
+    #[must_use]
+    pub const fn entries(&self) -> &BTreeMap<SharedName, EntryRecord> {
+        &self.data.entries
+    }
+
+    /// Returns all database groups.
+    #[must_use]
+    pub const fn databases(&self) -> &BTreeMap<SharedName, DatabaseRecord> {
+        &self.data.databases
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn target(&self, database: &str, server: &str) -> Option<&TargetRecord> {
+        self.data.databases.get(database)?.targets.get(server)
+    }
+
+    /// Returns the record of the sheet in force.
+    #[must_use]
+    pub fn sheet(&self) -> Option<&SheetRecord> {
+        self.data.sheets.current()
+    }
+
+    /// Returns the CSV text of the sheet in force.
+    #[must_use]
+    pub fn sheet_content(&self) -> &str {
+        self.data.sheets.content()
+    }
+
+    /// Returns the accepted sheets that are still listed, oldest first.
+    #[must_use]
+    pub fn sheet_history(&self) -> Vec<SheetRecord> {
+        self.data.sheets.history()
+    }
+
+    /// Returns what changed after `since`.
+    #[must_use]
+    pub fn changes_since(&self, since: u64) -> ChangeSet {
+        self.changes.since(since, self.data.version)
+    }
+
+    /// Returns the live entry that is the broker of a target.
+    ///
+    /// An assignment to an earlier process of the same host counts as none, so that a restarted
+    /// entry does not take up a brokership before its predecessor's lease has run out.
+    #[must_use]
+    pub fn live_broker(&self, target: &TargetRecord) -> Option<&EntryRecord> {
+        let broker = target.broker.as_ref()?;
+        let entry = self.data.entries.get(&broker.host)?;
+        (entry.live && entry.info.incarnation == broker.incarnation).then_some(entry)
+    }
+}
+
+impl StateMachine for ClusterState {
+    type Response = ClusterReply;
+
+    fn apply(&mut self, index: u64, command: &[u8]) -> ClusterReply {
+        match ClusterCommand::decode(command) {
+            Ok(command) => self.apply_command(index, command),
+            Err(rejection) => ClusterReply::Rejected(rejection),
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.data).unwrap_or_default()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), SnapshotError> {
+        let data: ClusterData =
+            serde_json::from_slice(snapshot).map_err(|error| SnapshotError(error.to_string()))?;
+        let mut addresses = FastMap::default();
+        for (name, database) in &data.databases {
+            for (server, target) in &database.targets {
+                if !target.info.address.is_empty() {
+                    addresses.insert(target.info.address.clone(), (name.clone(), server.clone()));
+                }
+            }
+        }
+        self.changes = ChangeList::starting_at(data.version);
+        self.addresses = addresses;
+        self.data = data;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/detector/mod.rs
@@ -0,0 +1,319 @@
+//! Liveness of entries and targets as the control leader observes it.
+//!
+//! The table is the leader's soft state. A new leader starts an empty one and counts every lease that
+//! it does not know as granted at the moment its leadership began.
+
+mod condition;
+mod lease;
+
+pub use {
+    condition::{ANNOUNCEMENT_GAP, BROKER_ALONE, NO_EVIDENCE, TargetCondition},
+    lease::{FENCE_GRACE, PLANNED_GRACE, RenewalRefusal},
+};
+
+use {
+    crate::{
+        cluster::{BrokerRef, ClusterState},
+        names::SharedName,
+        position::LogPosition,
+        route::TargetRole,
+        time::{Micros, NODE_LEASE, grantor_expiry},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Gap between two ticks after which the leader's own process counts as paused.
+///
+/// Ticks come every 100 ms; announcements that wait in the sockets of a paused leader must not count
+/// as missing.
+const PAUSE_GAP: Micros = Micros::from_secs(1);
+
+/// Time after which the records of an expired lease are dropped.
+const FORGET_LEASE: Micros = Micros::from_secs(60);
+
+/// What a target announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetAnnouncement {
+    /// Incarnation of the target.
+    pub incarnation: u64,
+    /// Role that the target claims.
+    pub role: Option<TargetRole>,
+    /// Term under which it acts.
+    pub term: u64,
+    /// Its position.
+    pub position: LogPosition,
+}
+
+/// What a broker observed of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokerReport {
+    /// Epoch of the brokership.
+    pub epoch: u64,
+    /// Whether the target answers on a fresh connection.
+    pub reachable: bool,
+    /// How long it has not.
+    pub unreachable_for: Micros,
+    /// Role that the target claims.
+    pub role: Option<TargetRole>,
+    /// Term that the target reports.
+    pub term: u64,
+    /// Position that the target reports.
+    pub position: LogPosition,
+    /// On a primary, the last position of earlier terms, if known.
+    pub term_start: Option<LogPosition>,
+    /// Highest closed term that the broker has stopped acknowledging for.
+    pub fenced_term: u64,
+    /// Connections that are still open.
+    pub open_connections: u32,
+}
+
+/// Database and server of a target.
+pub type TargetKey = (SharedName, SharedName);
+
+/// One heartbeat of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryHeartbeat {
+    /// The entry process.
+    pub entry: BrokerRef,
+    /// Version of the cluster state that it applies.
+    pub applied_version: u64,
+    /// Number of the sheet that it applies.
+    pub sheet_number: u64,
+    /// Reports on its targets.
+    pub reports: BTreeMap<TargetKey, BrokerReport>,
+}
+
+#[derive(Clone, Debug)]
+struct EntrySignal {
+    heard: Micros,
+    lease_expiry: Micros,
+    applied_version: u64,
+    sheet_number: u64,
+    /// Whether the lease was valid at the latest heartbeat; a process that was paused for longer
+    /// reports stale observations at first.
+    trusted: bool,
+    reports: BTreeMap<TargetKey, BrokerReport>,
+}
+
+#[derive(Clone, Debug)]
+struct TargetSignal {
+    first_heard: Micros,
+    heard: Micros,
+    announcement: TargetAnnouncement,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FenceSignal {
+    term: u64,
+    closed_seen: Micros,
+    fenced: Option<Micros>,
+    candidate_term: u64,
+    candidate_seen: Micros,
+}
+
+/// What the control leader has observed of entries and targets.
+#[derive(Clone, Debug)]
+pub struct LivenessTable {
+    lead_since: Micros,
+    observing_since: Micros,
+    ticked: Micros,
+    entries: BTreeMap<BrokerRef, EntrySignal>,
+    targets: BTreeMap<TargetKey, TargetSignal>,
+    fences: BTreeMap<SharedName, FenceSignal>,
+    expiring: BTreeSet<BrokerRef>,
+    sheet_seen: Option<(u64, Micros)>,
+    /// Version of the latest change of an entry and when it was seen.
+    entries_seen: Option<(u64, Micros)>,
+}
+
+/// What an operator sees of one entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryObservation {
+    /// Time since the last heartbeat.
+    pub silent: Micros,
+    /// Version that the entry applies.
+    pub applied_version: u64,
+    /// Sheet that the entry applies.
+    pub sheet_number: u64,
+}
+
+impl LivenessTable {
+    /// Creates the table of a leader whose leadership began at or before `now`.
+    #[must_use]
+    pub const fn new(now: Micros) -> Self {
+        Self {
+            lead_since: now,
+            observing_since: now,
+            ticked: now,
+            entries: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            fences: BTreeMap::new(),
+            expiring: BTreeSet::new(),
+            sheet_seen: None,
+            entries_seen: None,
+        }
+    }
+
+    /// Records a heartbeat; it renews nothing by itself.
+    ///
+    /// Returns whether a decision may depend on it, so that the leader need not wait for its next tick.
+    pub fn heartbeat(&mut self, now: Micros, heartbeat: EntryHeartbeat) -> bool {
+        let urgent =
+            !self.fences.is_empty() || heartbeat.reports.values().any(|report| !report.reachable);
+        let previous = self.entries.get(&heartbeat.entry);
+        let lease_expiry = previous.map_or(Micros::ZERO, |signal| signal.lease_expiry);
+        let signal = EntrySignal {
+            heard: now,
+            lease_expiry,
+            applied_version: heartbeat.applied_version,
+            sheet_number: heartbeat.sheet_number,
+            trusted: now < lease_expiry,
+            reports: heartbeat.reports,
+        };
+        self.entries.insert(heartbeat.entry, signal);
+        urgent
+    }
+
+    /// Records an announcement; one of an older incarnation is ignored.
+    pub fn announce(&mut self, now: Micros, key: TargetKey, announcement: TargetAnnouncement) {
+        if let Some(signal) = self.targets.get_mut(&key) {
+            if announcement.incarnation < signal.announcement.incarnation {
+                return;
+            }
+            signal.heard = now;
+            signal.announcement = announcement;
+            return;
+        }
+        self.targets.insert(key, TargetSignal { first_heard: now, heard: now, announcement });
+    }
+
+    /// Advances the table: notes pauses of this process, new sheets, closed terms and fences.
+    pub fn tick(&mut self, state: &ClusterState, now: Micros) {
+        if now.since(self.ticked) > PAUSE_GAP {
+            self.observing_since = now;
+        }
+        self.ticked = now;
+        self.note_sheet(state, now);
+        self.note_fences(state, now);
+        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
+        if self.entries_seen.is_none_or(|(seen, _)| seen != version) {
+            self.entries_seen = Some((version, now));
+        }
+        let mut dropped = Vec::new();
+        for (entry, signal) in &self.entries {
+            if now.since(signal.heard.max(signal.lease_expiry)) > FORGET_LEASE {
+                dropped.push(entry.clone());
+            }
+        }
+        for entry in dropped {
+            self.entries.remove(&entry);
+        }
+        self.targets.retain(|(database, server), _| state.target(database, server).is_some());
+    }
+
+    fn note_fences(&mut self, state: &ClusterState, now: Micros) {
+        self.fences.retain(|name, signal| {
+            state
+                .databases()
+                .get(name)
+                .is_some_and(|group| group.closed && group.term == signal.term)
+        });
+        for (name, group) in state.databases() {
+            if !group.closed {
+                continue;
+            }
+            let signal = self.fences.get(name).copied().unwrap_or(FenceSignal {
+                term: group.term,
+                closed_seen: now,
+                fenced: None,
+                candidate_term: group.candidate_term,
+                candidate_seen: now,
+            });
+            let mut signal = signal;
+            if signal.candidate_term != group.candidate_term {
+                signal.candidate_term = group.candidate_term;
+                signal.candidate_seen = now;
+            }
+            if signal.fenced.is_none() && self.is_fenced(state, name, group, now) {
+                signal.fenced = Some(now);
+            }
+            self.fences.insert(name.clone(), signal);
+        }
+    }
+
+    /// Returns when the leader saw that the closed term of a group was fenced.
+    #[must_use]
+    pub fn fenced_at(&self, database: &str) -> Option<Micros> {
+        self.fences.get(database)?.fenced
+    }
+
+    /// Returns when the leader saw the present candidate first.
+    #[must_use]
+    pub fn candidate_seen(&self, database: &str) -> Option<Micros> {
+        self.fences.get(database).map(|signal| signal.candidate_seen)
+    }
+
+    /// Returns the latest announcement of a target and when it was received.
+    #[must_use]
+    pub fn announcement(&self, key: &TargetKey) -> Option<(Micros, TargetAnnouncement)> {
+        self.targets.get(key).map(|signal| (signal.heard, signal.announcement))
+    }
+
+    /// Returns when the leader heard a target first.
+    #[must_use]
+    pub fn first_heard(&self, key: &TargetKey) -> Option<Micros> {
+        self.targets.get(key).map(|signal| signal.first_heard)
+    }
+
+    /// Returns what was last heard of an entry process.
+    #[must_use]
+    pub fn entry(&self, entry: &BrokerRef, now: Micros) -> Option<EntryObservation> {
+        let signal = self.entries.get(entry)?;
+        Some(EntryObservation {
+            silent: now.since(signal.heard),
+            applied_version: signal.applied_version,
+            sheet_number: signal.sheet_number,
+        })
+    }
+
+    /// Returns for how long the set of eligible entries has not changed.
+    #[must_use]
+    pub fn entries_stable_for(&self, state: &ClusterState, now: Micros) -> Micros {
+        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
+        match self.entries_seen {
+            Some((seen, since)) if seen == version => now.since(since),
+            _ => Micros::ZERO,
+        }
+    }
+
+    /// Returns when this leadership began.
+    #[must_use]
+    pub const fn lead_since(&self) -> Micros {
+        self.lead_since
+    }
+
+    /// Returns whether the lease of an entry process has run out for certain.
+    #[must_use]
+    pub fn lease_expired(&self, entry: &BrokerRef, now: Micros) -> bool {
+        // Renewals by earlier leaders are not known here.
+        let inherited = grantor_expiry(self.lead_since, NODE_LEASE);
+        let granted = self.entries.get(entry).map_or(Micros::ZERO, |signal| signal.lease_expiry);
+        now >= inherited.max(granted)
+    }
+
+    /// Returns whether an entry process holds a lease that this leader granted.
+    #[must_use]
+    pub fn holds_lease(&self, entry: &BrokerRef, now: Micros) -> bool {
+        self.entries.get(entry).is_some_and(|signal| now < signal.lease_expiry)
+    }
+
+    /// Returns whether a process can neither act under a lease nor get a new one.
+    #[must_use]
+    pub fn is_gone(&self, state: &ClusterState, entry: &BrokerRef, now: Micros) -> bool {
+        let recorded = state
+            .entries()
+            .get(&entry.host)
+            .is_some_and(|record| record.live && record.info.incarnation == entry.incarnation);
+        !recorded && self.lease_expired(entry, now)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,12 +3,15 @@
 //! Nothing here opens a socket, reads a clock or awaits. Time and random numbers are passed in, so
 //! that tests drive every machine on virtual time.
 
+pub mod cluster;
 pub mod collections;
+pub mod detector;
 pub mod event;
 pub mod failure;
 pub mod machine;
 pub mod names;
 pub mod position;
+pub mod promotion;
 pub mod route;
 pub mod sheet;
 pub mod time;
