--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,14 +4,17 @@
 //! that tests drive every machine on virtual time.
 
 pub mod broker;
+pub mod cluster;
 pub mod collections;
 pub mod consensus;
+pub mod detector;
 pub mod event;
 pub mod failure;
 pub mod floor;
 pub mod machine;
 pub mod names;
 pub mod position;
+pub mod promotion;
 pub mod queue;
 pub mod retry;
 pub mod route;
--- a/crates/entry/src/broker/lifecycle.rs
+++ b/crates/entry/src/broker/lifecycle.rs
@@ -108,6 +108,8 @@
             position: status.map(|status| status.position.into()),
             fenced_term,
             open_connections: self.pooled.open() + self.probing.open(),
+            term: status.map_or(0, |status| status.term.0),
+            term_start: None,
         }
     }
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -65,8 +65,6 @@
     /// The session sends the first ones without waiting for `Granted`, which saves a round trip
     /// during which the slot would be idle; they are sent to the target once the grant holds.
     Data(Bytes),
-    /// The grant's connection carries state that outlives a transaction; it is reset before reuse.
-    Taint,
     /// Cancels the statement that runs or waits.
     Cancel,
     /// Reports that the session leaves state on the connection, such as settings or listeners;
