feat(entry): add settings, admin listener and SCRAM authentication

The password file keeps verifiers in PostgreSQL's form; the exchange is done by pgwire's server side. A test that wrote to connections the server may already have closed now writes its messages at once.

--- /dev/null
+++ b/crates/entry/src/session/auth.rs
@@ -0,0 +1,164 @@
+//! Authentication of callers: trust, or SCRAM-SHA-256 with a password file.
+
+use {
+    super::{
+        answer,
+        connection::{CallerStream, SessionEnd},
+        frame::split_text,
+    },
+    banyansill_core::{collections::FastMap, failure::FailureKind},
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::{BufMut, BytesMut},
+    pgwire::api::auth::sasl::scram::{ScramSecret, ScramServerAuth},
+    sha2::{Digest, Sha256},
+    std::{fs, io, path::Path},
+};
+
+const MECHANISM: &str = "SCRAM-SHA-256";
+const SASL_START: i32 = 10;
+const SASL_CONTINUE: i32 = 11;
+const SASL_FINAL: i32 = 12;
+
+/// Bytes of the salt and of the keys that a name without a password gets.
+const MOCK_SALT_SIZE: usize = 16;
+
+/// Iterations that a name without a password gets, PostgreSQL's default.
+const MOCK_ITERATIONS: usize = 4_096;
+
+/// What an entry knows of a password.
+#[derive(Clone, PartialEq, Eq)]
+struct PasswordVerifier {
+    iterations: usize,
+    salt: Vec<u8>,
+    stored_key: Vec<u8>,
+    server_key: Vec<u8>,
+}
+
+impl PasswordVerifier {
+    /// Parses the form in which PostgreSQL keeps passwords.
+    fn parse(text: &str) -> Option<Self> {
+        let rest = text.strip_prefix(MECHANISM)?.strip_prefix('$')?;
+        let (first, keys) = rest.split_once('$')?;
+        let (iterations, salt) = first.split_once(':')?;
+        let (stored_key, server_key) = keys.split_once(':')?;
+        let verifier = Self {
+            iterations: iterations.parse().ok().filter(|count| *count > 0)?,
+            salt: STANDARD.decode(salt).ok()?,
+            stored_key: STANDARD.decode(stored_key).ok()?,
+            server_key: STANDARD.decode(server_key).ok()?,
+        };
+        let sized = verifier.stored_key.len() == 32 && verifier.server_key.len() == 32;
+        sized.then_some(verifier)
+    }
+
+    fn secret(&self) -> ScramSecret {
+        ScramSecret::Verifier {
+            salt: self.salt.clone(),
+            iterations: self.iterations,
+            stored_key: self.stored_key.clone(),
+            server_key: self.server_key.clone(),
+        }
+    }
+}
+
+/// Passwords of the callers that may connect.
+#[derive(Clone)]
+pub(super) struct PasswordTable {
+    verifiers: FastMap<String, PasswordVerifier>,
+    /// Makes the salts of unknown names constant and not guessable.
+    mock_key: [u8; 32],
+}
+
+impl std::fmt::Debug for PasswordTable {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("PasswordTable").field("names", &self.verifiers.len()).finish()
+    }
+}
+
+impl PasswordTable {
+    /// Reads a password file: one `name:verifier` per line, `#` begins a comment line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the line if the file cannot be read or is malformed.
+    pub(super) fn load(path: &Path) -> io::Result<Self> {
+        let text = fs::read_to_string(path)?;
+        let mut verifiers = FastMap::default();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let parsed = line.split_once(':').and_then(|(name, text)| {
+                PasswordVerifier::parse(text).map(|verifier| (name.to_owned(), verifier))
+            });
+            let Some((name, verifier)) = parsed else {
+                let message = format!("{}:{}: not name:verifier", path.display(), index + 1);
+                return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+            };
+            verifiers.insert(name, verifier);
+        }
+        Ok(Self { verifiers, mock_key: rand::random() })
+    }
+
+    /// Returns the secret of a name; one that no password fits if the name is unknown, so that the
+    /// exchange does not tell which names exist.
+    fn secret(&self, name: &str) -> ScramSecret {
+        if let Some(verifier) = self.verifiers.get(name) {
+            return verifier.secret();
+        }
+        let salt = Sha256::new().chain_update(self.mock_key).chain_update(name).finalize();
+        ScramSecret::Verifier {
+            salt: salt[..MOCK_SALT_SIZE].to_vec(),
+            iterations: MOCK_ITERATIONS,
+            stored_key: rand::random::<[u8; 32]>().to_vec(),
+            server_key: rand::random::<[u8; 32]>().to_vec(),
+        }
+    }
+
+    /// Carries out the SCRAM exchange with a caller.
+    ///
+    /// # Errors
+    ///
+    /// Ends the session with `BadCredentials` if the password is wrong or the name unknown.
+    pub(super) async fn check(&self, stream: &CallerStream, name: &str) -> Result<(), SessionEnd> {
+        let refused = || SessionEnd::Failure(FailureKind::BadCredentials, "");
+        let malformed = || SessionEnd::Failure(FailureKind::ProtocolViolation, "SASL message");
+        request(stream, SASL_START, format!("{MECHANISM}\0\0").as_bytes()).await?;
+        let frame = password_message(stream).await?;
+        let (mechanism, rest) = split_text(&frame).ok_or_else(malformed)?;
+        let (length, first) = rest.split_first_chunk::<4>().ok_or_else(malformed)?;
+        let complete = usize::try_from(i32::from_be_bytes(*length)) == Ok(first.len());
+        if mechanism != MECHANISM.as_bytes() || !complete {
+            return Err(malformed());
+        }
+        let (reply, waiting) = ScramServerAuth::new()
+            .on_client_first_message_with_secret(first, self.secret(name))
+            .map_err(|_| malformed())?;
+        request(stream, SASL_CONTINUE, reply.as_bytes()).await?;
+        let last = password_message(stream).await?;
+        let reply = waiting.on_client_final_message(&last).map_err(|_| refused())?;
+        if !self.verifiers.contains_key(name) {
+            return Err(refused());
+        }
+        request(stream, SASL_FINAL, reply.as_bytes()).await
+    }
+}
+
+async fn request(stream: &CallerStream, code: i32, data: &[u8]) -> Result<(), SessionEnd> {
+    let mut buffer = BytesMut::new();
+    answer::message(&mut buffer, b'R', |buffer| {
+        buffer.put_i32(code);
+        buffer.put_slice(data);
+    });
+    stream.put(&buffer)?;
+    stream.relieve().await
+}
+
+async fn password_message(stream: &CallerStream) -> Result<Vec<u8>, SessionEnd> {
+    match stream.next().await? {
+        None => Err(SessionEnd::Closed),
+        Some(frame) if frame.tag == b'p' => Ok(frame.body().to_vec()),
+        Some(_) => Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "password expected")),
+    }
+}
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: their connections, their sessions and the way of each request to a target.
 
 pub mod answer;
+mod auth;
 mod connection;
 mod exchange;
 mod filter;
@@ -29,6 +30,7 @@
         cell::{Cell, RefCell},
         io,
         net::{SocketAddr, TcpListener},
+        path::PathBuf,
         rc::Rc,
         sync::{
             Arc,
@@ -66,6 +68,8 @@
     /// Every caller is let in.
     #[default]
     Trust,
+    /// SCRAM-SHA-256 with a file of one `name:verifier` per line, as PostgreSQL keeps passwords.
+    Scram(PathBuf),
 }
 
 /// Settings of the callers' listener.
@@ -154,6 +158,7 @@
     lease: NodeLease,
     registry: Arc<CallerRegistry>,
     counters: Arc<SessionCounters>,
+    passwords: Option<auth::PasswordTable>,
 }
 
 /// What the sessions of one worker thread share.
@@ -193,7 +198,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the address cannot be bound or the server thread cannot be started.
+    /// Returns an error if the password file is not valid, the address cannot be bound or the server
+    /// thread cannot be started.
     pub async fn bind<R>(
         settings: CallerSettings,
         router: R,
@@ -205,6 +211,10 @@
     where
         R: GrantRouter,
     {
+        let passwords = match &settings.authentication {
+            CallerAuthentication::Trust => None,
+            CallerAuthentication::Scram(path) => Some(auth::PasswordTable::load(path)?),
+        };
         let listener = listen(settings.listen)?;
         let address = listener.local_addr()?;
         let workers = settings.workers;
@@ -217,6 +227,7 @@
             lease,
             registry: registry.clone(),
             counters: counters.clone(),
+            passwords,
         });
         let server = ServerHandle::spawn("callers", workers, move |builder| {
             builder.listen("callers", listener, async move |_| {
--- a/crates/entry/src/session/startup.rs
+++ b/crates/entry/src/session/startup.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CallerAuthentication, EntryShared, answer,
+        EntryShared, answer,
         connection::{CallerStream, SessionEnd},
         frame::split_text,
         registry::{CallerTicket, CancelKey},
@@ -177,8 +177,8 @@
     let Some(identity) = CallerIdentity::new(&parameters) else {
         return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "no user name"));
     };
-    match shared.settings.authentication {
-        CallerAuthentication::Trust => {}
+    if let Some(passwords) = &shared.passwords {
+        passwords.check(stream, &identity.user).await?;
     }
     stream.codec.set_limit(shared.settings.message_limit);
     let mut buffer = BytesMut::new();
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,131 @@
+//! Settings of the entry process.
+
+use {
+    crate::session::{CallerAuthentication, CallerSettings},
+    banyansill_core::names::SharedName,
+    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        time::Duration,
+    },
+};
+
+/// Longest bound that a settings file may set, in milliseconds.
+const BOUND_LIMIT_MS: u64 = 3_600_000;
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of this host, unique among all entries.
+    pub host: SharedName,
+    /// Region of this host.
+    pub region: SharedName,
+    /// Availability zone of this host.
+    pub zone: SharedName,
+    /// Listener for callers and its limits.
+    pub callers: CallerSettings,
+    /// Listener for other entries; the address is announced to them.
+    pub peer_listen: SocketAddr,
+    /// HTTP listener for health checks.
+    pub admin_listen: SocketAddr,
+    /// Addresses of all control replicas.
+    pub control: Vec<SocketAddr>,
+    /// User as which brokers connect to targets.
+    pub target_user: String,
+    /// Time that callers have to finish at a planned stop.
+    pub drain_bound: Duration,
+    /// Address of a statsd server.
+    pub statsd: Option<SocketAddr>,
+    /// Log levels, such as `info` or `info,event=warn`.
+    pub log_levels: String,
+    /// Directory of log files; without one, logs go to standard error.
+    pub log_directory: Option<PathBuf>,
+}
+
+impl SettingsSource for EntrySettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let host = SharedName::from(reader.string("host"));
+        let region = SharedName::from(reader.string("region"));
+        let zone = SharedName::from(reader.string("zone"));
+        let mut callers: CallerSettings = reader.nested("callers");
+        callers.region = region.clone();
+        callers.zone = zone.clone();
+        let control: Vec<SocketAddr> = reader.list("control");
+        if control.is_empty() {
+            reader.fault("control", "must name at least one control replica");
+        }
+        for (index, address) in control.iter().enumerate() {
+            if control[..index].contains(address) {
+                reader.fault(&format!("control[{index}]"), "is given twice");
+            }
+        }
+        let peer_listen = address(reader, "peer_listen");
+        if peer_listen.ip().is_unspecified() {
+            reader.fault("peer_listen", "must be an address that other entries can connect to");
+        }
+        Self {
+            host,
+            region,
+            zone,
+            callers,
+            peer_listen,
+            admin_listen: address(reader, "admin_listen"),
+            control,
+            target_user: reader.string("target_user"),
+            drain_bound: bound(reader, "drain_ms", 30_000),
+            statsd: reader.optional_parsed("statsd"),
+            log_levels: reader.optional_string("log_levels").unwrap_or_else(|| "info".to_owned()),
+            log_directory: reader.optional_path("log_directory"),
+        }
+    }
+}
+
+impl SettingsSource for CallerSettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let listen = address(reader, "listen");
+        let defaults = Self::new(listen, SharedName::default(), SharedName::default());
+        let authentication = match reader.optional_path("password_file") {
+            None => CallerAuthentication::Trust,
+            Some(path) => CallerAuthentication::Scram(path),
+        };
+        Self {
+            workers: count(reader, "workers", defaults.workers, 1, 256),
+            max_callers: count(reader, "max_callers", defaults.max_callers, 1, 1_000_000),
+            message_limit: count(reader, "message_limit", defaults.message_limit, 1 << 10, 1 << 30),
+            startup_limit: count(reader, "startup_limit", defaults.startup_limit, 64, 1 << 20),
+            startup_timeout: bound(reader, "startup_ms", millis(defaults.startup_timeout)),
+            stall_timeout: bound(reader, "stall_ms", millis(defaults.stall_timeout)),
+            transaction_timeout: bound(
+                reader,
+                "transaction_idle_ms",
+                millis(defaults.transaction_timeout),
+            ),
+            authentication,
+            ..defaults
+        }
+    }
+}
+
+fn address(reader: &mut SettingsReader<'_>, field: &str) -> SocketAddr {
+    reader.parsed(field).unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+}
+
+fn count(
+    reader: &mut SettingsReader<'_>,
+    field: &str,
+    default: usize,
+    low: u64,
+    high: u64,
+) -> usize {
+    let number = reader.number(field, default as u64, low, high);
+    usize::try_from(number).unwrap_or(default)
+}
+
+fn bound(reader: &mut SettingsReader<'_>, field: &str, default: u64) -> Duration {
+    Duration::from_millis(reader.number(field, default, 1, BOUND_LIMIT_MS))
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/tests/admin.rs
@@ -0,0 +1,124 @@
+//! Health checks, the time line and the settings file.
+
+mod support;
+
+use {
+    banyansill_core::{event::EventNumber, route::RouteTable},
+    banyansill_entry::{
+        admin::{AdminServer, AdminSources},
+        lease::NodeLease,
+        settings::EntrySettings,
+    },
+    banyansill_runtime::{clock::MonotonicClock, settings},
+    std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
+    support::Bench,
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+};
+
+/// Sends a GET request and returns the status code and the body.
+async fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut socket = tokio::net::TcpStream::connect(address).await.expect("a listener");
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    socket.write_all(request.as_bytes()).await.expect("an open connection");
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).await.expect("an answer");
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    let code = head.split(' ').nth(1).and_then(|code| code.parse().ok()).expect("a status");
+    (code, body.to_owned())
+}
+
+// Guards against callers that are sent to an entry which refuses all work.
+#[tokio::test]
+async fn readiness_follows_lease_sheet_and_drain() {
+    let bench = Bench::open().await;
+    let lease = NodeLease::new(MonotonicClock::start());
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let sources = AdminSources {
+        host: "host-1".into(),
+        lease: lease.clone(),
+        routes: bench.routes.subscribe(),
+        events: bench.handle.events().clone(),
+        registry: bench.handle.registry().clone(),
+        counters: bench.handle.counters().clone(),
+    };
+    let admin = AdminServer::bind(listen, sources).await.unwrap();
+    let address = admin.address();
+    assert_eq!(get(address, "/healthz").await.0, 200);
+    assert_eq!(get(address, "/readyz").await, (503, "no-lease\n".to_owned()));
+    lease.extend(banyansill_core::time::Micros::from_secs(3_600));
+    assert_eq!(get(address, "/readyz").await.0, 200);
+    let table = bench.routes.borrow().clone();
+    bench.routes.send_replace(Arc::new(RouteTable { sheet: None, ..(*table).clone() }));
+    assert_eq!(get(address, "/readyz").await, (503, "no-sheet\n".to_owned()));
+    bench.routes.send_replace(table);
+    bench.handle.drain(Duration::from_secs(1)).await;
+    assert_eq!(get(address, "/readyz").await, (503, "draining\n".to_owned()));
+    admin.stop().await;
+}
+
+// Guards against a time line with gaps or repetitions, and a status that cannot be read.
+#[tokio::test]
+async fn events_and_status_are_json() {
+    let bench = Bench::open().await;
+    let events = bench.handle.events().clone();
+    events.record(EventNumber::LeaseGained, &[]);
+    events.record(EventNumber::SheetApplied, &[("number", "7".to_owned())]);
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let sources = AdminSources {
+        host: "host-1".into(),
+        lease: bench.lease.clone(),
+        routes: bench.routes.subscribe(),
+        events,
+        registry: bench.handle.registry().clone(),
+        counters: bench.handle.counters().clone(),
+    };
+    let admin = AdminServer::bind(listen, sources).await.unwrap();
+    let _caller = bench.raw().await;
+    let (_, body) = get(admin.address(), "/v1/events").await;
+    let list: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(list[1]["fields"]["number"], "7");
+    let last = list[1]["stamp"]["millis"].as_u64().unwrap();
+    let (_, body) = get(admin.address(), &format!("/v1/events?since_ms={last}")).await;
+    assert!(body.contains("sheet applied"), "{body}");
+    let (_, body) = get(admin.address(), &format!("/v1/events?since_ms={}", last + 1)).await;
+    assert_eq!(body, "[]");
+    let (_, body) = get(admin.address(), "/v1/status").await;
+    let status: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(status["callers"], 1);
+    assert_eq!(status["databases"]["orders"]["primary"], "p");
+    assert_eq!(get(admin.address(), "/v1/events?since_ms=x").await.0, 400);
+    admin.stop().await;
+}
+
+// Guards against example files that the entry does not accept.
+#[test]
+fn example_settings_are_valid() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (sample, zone) in [("hamper-board", "selkirk-yard"), ("magnolia", "gulf-a")] {
+        let path = examples.join(sample).join("entry.jsonc");
+        let settings: EntrySettings = settings::load(&path).expect("a valid example");
+        assert_eq!(settings.callers.zone.as_str(), zone);
+        assert_eq!(settings.control.len(), 3);
+    }
+}
+
+// Guards against faults that are reported one at a time or not at all.
+#[test]
+fn all_faults_are_reported() {
+    let text = r#"{"host": "", "region": "r", "callers": {"listen": "x", "workers": 0, "typo": 1},
+        "peer_listen": "0.0.0.0:1", "admin_listen": "127.0.0.1:2", "control": []}"#;
+    let report = settings::parse::<EntrySettings>("entry.jsonc", text).expect_err("faults");
+    let mut fields: Vec<&str> = report.faults.iter().map(|fault| fault.field.as_str()).collect();
+    fields.sort_unstable();
+    let expected = [
+        "callers.listen",
+        "callers.typo",
+        "callers.workers",
+        "control",
+        "host",
+        "peer_listen",
+        "target_user",
+        "zone",
+    ];
+    assert_eq!(fields, expected);
+}
--- a/crates/entry/tests/session_lifecycle.rs
+++ b/crates/entry/tests/session_lifecycle.rs
@@ -4,6 +4,7 @@
 
 use {
     banyansill_core::failure::FailureKind,
+    banyansill_entry::session::CallerAuthentication,
     bytes::{BufMut, BytesMut},
     postgres_protocol::message::frontend,
     std::time::{Duration, Instant},
@@ -203,3 +204,35 @@
     // 50 first tries, a burst of 10 retries and one for every ten requests.
     assert!(bench.router.grants().len() <= 50 + 10 + 5 + 1, "{}", bench.router.grants().len());
 }
+
+// Guards against callers that are let in with a wrong password, or kept out with the right one.
+#[tokio::test]
+async fn passwords_are_checked() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let verifier = postgres_protocol::password::scram_sha_256(b"goldeye");
+    std::fs::write(file.path(), format!("# callers\ndepot:{verifier}\n")).unwrap();
+    let path = file.path().to_owned();
+    let bench = Bench::open_with(|settings| {
+        settings.authentication = CallerAuthentication::Scram(path);
+    })
+    .await;
+    for (user, password, expected) in [
+        ("depot", "goldeye", None),
+        ("depot", "pickerel", Some("28P01")),
+        ("finance", "goldeye", Some("28P01")),
+    ] {
+        let mut config = bench.config();
+        let error = config.user(user).password(password).connect(tokio_postgres::NoTls).await.err();
+        let code = error.and_then(|error| error.code().map(|code| code.code().to_owned()));
+        assert_eq!(code.as_deref(), expected, "{user} {password}");
+    }
+    let mut caller = RawCaller::open(bench.handle.address()).await;
+    let mut buffer = BytesMut::new();
+    frontend::startup_message([("user", "depot")], &mut buffer).unwrap();
+    frontend::query("SELECT 1", &mut buffer).unwrap();
+    caller.write(&buffer).await;
+    assert_eq!(caller.next().await.unwrap().0, 'R');
+    assert_eq!(caller.next().await.unwrap().0, 'E');
+    assert!(caller.next().await.is_none());
+    assert!(bench.router.grants().is_empty());
+}
--- a/crates/entry/tests/session_protocol.rs
+++ b/crates/entry/tests/session_protocol.rs
@@ -120,13 +120,15 @@
         let messages = strategy.new_tree(&mut runner).expect("a value");
         let messages = proptest::strategy::ValueTree::current(&messages);
         let mut caller = bench.raw().await;
+        // One write: the server may close the connection at any of the messages.
+        let mut bytes = Vec::new();
         for (tag, body) in messages {
             let length = i32::try_from(body.len() + 4).unwrap();
-            let mut bytes = vec![tag];
+            bytes.push(tag);
             bytes.extend_from_slice(&length.to_be_bytes());
             bytes.extend_from_slice(&body);
-            caller.write(&bytes).await;
         }
+        caller.write(&bytes).await;
     }
     let mut healthy = bench.raw().await;
     assert_eq!(healthy.query("SELECT 1").await.last().unwrap(), "ZI");
