--- a/crates/entry/src/membership/mod.rs
+++ b/crates/entry/src/membership/mod.rs
@@ -33,12 +33,14 @@
 }
 
 /// Parts of the entry that membership feeds or reads.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct MembershipLinks {
     /// Clock of the lease.
     pub clock: MonotonicClock,
     /// Lease that heartbeats renew.
     pub lease: NodeLease,
+    /// Where routes and the sheet in force are published.
+    pub routes: channel::Sender<Arc<RouteTable>>,
     /// What the brokers observe of their targets.
     pub reports: channel::Receiver<Vec<v1::TargetReport>>,
     /// Time line.
@@ -49,7 +51,6 @@
 #[derive(Debug)]
 #[must_use]
 pub struct MembershipHandle {
-    routes: channel::Receiver<Arc<RouteTable>>,
     draining: channel::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -57,20 +58,13 @@
 impl MembershipHandle {
     /// Starts heartbeats and the watch on the current tokio runtime.
     pub fn spawn(settings: MembershipSettings, links: MembershipLinks) -> Self {
-        let (publisher, routes) = channel::channel(Arc::new(RouteTable::default()));
+        let routes = links.routes.subscribe();
         let (draining, drain) = channel::channel(settings.entry.draining);
         let (committed, target) = channel::channel(0);
-        let watcher = watch::WatchTask::new(&settings, publisher, target, links.events.clone());
-        let beater =
-            heartbeat::HeartbeatTask::new(settings, links, routes.clone(), drain, committed);
+        let watcher = watch::WatchTask::new(&settings, &links, target);
+        let beater = heartbeat::HeartbeatTask::new(settings, links, routes, drain, committed);
         let tasks = vec![tokio::spawn(watcher.run()), tokio::spawn(beater.run())];
-        Self { routes, draining, tasks }
-    }
-
-    /// Returns the routes and the sheet in force, republished on each change.
-    #[must_use]
-    pub fn routes(&self) -> channel::Receiver<Arc<RouteTable>> {
-        self.routes.clone()
+        Self { draining, tasks }
     }
 
     /// Announces whether the entry is draining; brokerships move away from a draining entry.
--- a/crates/entry/src/membership/watch.rs
+++ b/crates/entry/src/membership/watch.rs
@@ -1,7 +1,7 @@
 //! The watch on the cluster state.
 
 use {
-    super::{ControlRing, MembershipSettings, connect, view::ClusterView},
+    super::{ControlRing, MembershipLinks, MembershipSettings, connect, view::ClusterView},
     banyansill_core::{event::EventNumber, names::SharedName, route::RouteTable},
     banyansill_runtime::events::EventSink,
     banyansill_wire::v1::{self, control_client::ControlClient},
@@ -37,17 +37,16 @@
 impl WatchTask {
     pub(super) fn new(
         settings: &MembershipSettings,
-        publisher: watch::Sender<Arc<RouteTable>>,
+        links: &MembershipLinks,
         committed: watch::Receiver<u64>,
-        events: EventSink,
     ) -> Self {
         Self {
             host: SharedName::from(settings.entry.host.as_str()),
             ring: ControlRing::new(settings.control.clone()),
             view: ClusterView::default(),
-            publisher,
+            publisher: links.routes.clone(),
             committed,
-            events,
+            events: links.events.clone(),
             sheet_number: 0,
         }
     }
