feat(standin): bound the log and send images to late replicas

Cause: the log grew for as long as the server ran, and reported settings were wrong after a rollback. Change: log_entries applied entries are kept; a replica further behind, or one whose divergent tail is already applied, gets the whole data as an image, shown no sooner than its lag. Changed settings are reported before ReadyForQuery. ON CONFLICT DO NOTHING takes a target. The announcement that the server is leaving is sent at once. ServerHandle can freeze a server. Conclusion: memory of a long run is bounded by the data and log_entries.

--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -48,6 +48,7 @@
         return;
     }
     let mut ended = shared.ended.subscribe();
+    let mut leaving = shared.leaving.subscribe();
     let mut ticks = interval(ANNOUNCE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     // Starts with the address that answered last.
@@ -56,6 +57,8 @@
         tokio::select! {
             _ = ended.wait_for(|ended| *ended) => return,
             _ = ticks.tick() => {}
+            // Told at once, so that the time before the end is not cut short.
+            Ok(()) = leaving.changed() => {}
         }
         if shared.faults.mute.load(Ordering::Relaxed) {
             continue;
@@ -97,7 +100,7 @@
         position: state.position().to_string(),
         slots: settings.slots,
         connections: settings.connections,
-        leaving: shared.leaving.load(Ordering::Relaxed),
+        leaving: *shared.leaving.borrow(),
         incarnation: shared.incarnation,
     };
     serde_json::to_vec(&announcement).unwrap_or_default()
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         error::SqlError,
-        store::{DataChange, DataStore, OpenTransaction},
+        store::{DataChange, DataStore, OpenTransaction, StoreImage},
     },
     banyansill_core::position::LogPosition,
     serde::{Deserialize, Serialize},
@@ -91,6 +91,17 @@
     }
 }
 
+/// Whole state of a primary, for a replica whose log does not reach its kept entries.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GroupImage {
+    /// Position of the last entry that is part of the data.
+    pub position: LogPosition,
+    /// Commit time of that entry.
+    pub commit_ms: u64,
+    spans: Vec<TermSpan>,
+    data: StoreImage,
+}
+
 /// State of one server that its sessions and its replication share.
 #[derive(Debug)]
 pub struct GroupState {
@@ -106,8 +117,13 @@
     pub replayed_at_ms: u64,
     /// Committed data up to the applied offset.
     pub data: DataStore,
+    /// Whether the log cannot be cut to its common part with the primary's, so that the replica
+    /// needs an image.
+    pub needs_image: bool,
     incarnation: u64,
-    log: Vec<Arc<LogEntry>>,
+    kept: u64,
+    base: LogPosition,
+    log: VecDeque<Arc<LogEntry>>,
     spans: Vec<TermSpan>,
     applied: u64,
     marks: VecDeque<(u64, u64)>,
@@ -115,7 +131,9 @@
 
 impl GroupState {
     /// Creates the state of a server that starts without data.
-    pub fn new(role: GroupRole, term: u64, lag_ms: u64, incarnation: u64) -> Self {
+    ///
+    /// About `kept` applied entries stay in the log.
+    pub fn new(role: GroupRole, term: u64, lag_ms: u64, kept: u64, incarnation: u64) -> Self {
         let mut state = Self {
             role,
             term,
@@ -123,8 +141,11 @@
             lag_ms,
             replayed_at_ms: 0,
             data: DataStore::default(),
+            needs_image: false,
             incarnation,
-            log: Vec::new(),
+            kept,
+            base: LogPosition::ZERO,
+            log: VecDeque::new(),
             spans: Vec::new(),
             applied: 0,
             marks: VecDeque::new(),
@@ -146,15 +167,42 @@
     }
 
     /// Returns the offset of the last entry received.
-    pub const fn log_end(&self) -> u64 {
-        self.log.len() as u64
+    pub fn log_end(&self) -> u64 {
+        self.base.offset + self.log.len() as u64
     }
 
-    /// Returns up to `limit` entries after `offset`.
-    pub fn entries_after(&self, offset: u64, limit: usize) -> Vec<Arc<LogEntry>> {
-        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.log.len());
-        let end = self.log.len().min(start.saturating_add(limit));
-        self.log[start..end].to_vec()
+    /// Returns up to `limit` entries after `offset`, or nothing if they are not kept any more.
+    pub fn entries_after(&self, offset: u64, limit: usize) -> Option<Vec<Arc<LogEntry>>> {
+        let start = usize::try_from(offset.checked_sub(self.base.offset)?).ok()?;
+        Some(self.log.iter().skip(start).take(limit).cloned().collect())
+    }
+
+    /// Returns the whole state.
+    pub fn image(&self) -> GroupImage {
+        let commit_ms = self.entry(self.applied).map_or(0, |entry| entry.commit_ms);
+        GroupImage {
+            position: self.position(),
+            commit_ms,
+            spans: self.spans.clone(),
+            data: self.data.image(self.applied),
+        }
+    }
+
+    /// Returns the wall time before which an image must not become visible here.
+    pub const fn image_due(&self, image: &GroupImage) -> u64 {
+        due_at(image.commit_ms, self.lag_ms)
+    }
+
+    /// Replaces log and data by an image.
+    pub fn install(&mut self, image: GroupImage) {
+        self.needs_image = false;
+        self.log.clear();
+        self.marks.clear();
+        self.spans = image.spans;
+        self.base = image.position;
+        self.applied = image.position.offset;
+        self.replayed_at_ms = image.commit_ms.saturating_sub(1);
+        self.data.install(image.position.offset, image.data);
     }
 
     /// Opens a transaction at the last applied entry.
@@ -163,6 +211,13 @@
         self.data.begin(position, self.epoch)
     }
 
+    /// Returns whether a transaction reads at the last applied entry.
+    pub const fn is_current(&self, transaction: &OpenTransaction) -> bool {
+        transaction.snapshot.position.offset == self.applied
+            && transaction.snapshot.generation == self.data.generation
+            && transaction.epoch == self.epoch
+    }
+
     /// Moves a transaction that has not read anything yet to the last applied entry.
     pub fn refresh(&mut self, transaction: &mut OpenTransaction) {
         self.data.drop_snapshot(transaction.snapshot);
@@ -239,6 +294,7 @@
             return Err(SqlError::new("55000", message));
         }
         self.apply_all();
+        self.needs_image = false;
         self.role = GroupRole::Primary;
         self.term = term;
         self.epoch += 1;
@@ -276,21 +332,27 @@
         self.term = self.term.max(term);
     }
 
-    /// Removes every entry after `offset`.
-    pub fn truncate(&mut self, offset: u64) {
-        let length = usize::try_from(offset).unwrap_or(usize::MAX);
-        if length >= self.log.len() {
-            return;
+    /// Removes every entry after `offset`; returns false if only an image can replace them.
+    pub fn truncate(&mut self, offset: u64) -> bool {
+        if offset >= self.log_end() {
+            return true;
+        }
+        let replayed = self.applied > offset;
+        let Some(length) = offset.checked_sub(self.base.offset) else { return false };
+        // Data is rebuilt from the start of the log, so the log has to be whole.
+        if replayed && self.base != LogPosition::ZERO {
+            return false;
         }
-        self.log.truncate(length);
+        self.log.truncate(usize::try_from(length).unwrap_or(usize::MAX));
         self.spans.retain(|span| span.start.offset <= offset);
         self.marks.clear();
-        if self.applied > offset {
+        if replayed {
             self.data.reset();
             self.applied = 0;
             self.replayed_at_ms = 0;
             self.apply_all();
         }
+        true
     }
 
     /// Adds an entry received from the primary; returns false if it is not the next one.
@@ -314,7 +376,7 @@
         }
         let lag = self.lag_ms;
         let mut next = None;
-        while let Some(entry) = self.log.get(self.applied as usize) {
+        while let Some(entry) = self.entry(self.applied + 1) {
             let due = due_at(entry.commit_ms, lag);
             if due > now_ms {
                 next = Some(due);
@@ -337,8 +399,12 @@
     }
 
     fn position_at(&self, offset: u64) -> LogPosition {
-        let entry = offset.checked_sub(1).and_then(|index| self.log.get(index as usize));
-        entry.map_or(LogPosition::ZERO, |entry| entry.position)
+        self.entry(offset).map_or(self.base, |entry| entry.position)
+    }
+
+    fn entry(&self, offset: u64) -> Option<&Arc<LogEntry>> {
+        let index = offset.checked_sub(self.base.offset)?.checked_sub(1)?;
+        self.log.get(usize::try_from(index).ok()?)
     }
 
     fn append(&mut self, body: EntryBody, commit_ms: u64) {
@@ -351,7 +417,7 @@
         if let EntryBody::TermStart { writer } = entry.body {
             self.spans.push(TermSpan { start: entry.position, writer });
         }
-        self.log.push(entry);
+        self.log.push_back(entry);
     }
 
     fn apply_all(&mut self) {
@@ -361,13 +427,18 @@
     }
 
     fn apply_next(&mut self) {
-        let entry = self.log[self.applied as usize].clone();
+        let Some(entry) = self.entry(self.applied + 1).cloned() else { return };
         self.applied += 1;
         if let EntryBody::Commit(changes) = &entry.body {
             self.data.apply(self.applied, changes);
         }
         // Other commits of the same millisecond may still follow.
         self.replayed_at_ms = self.replayed_at_ms.max(entry.commit_ms.saturating_sub(1));
+        while self.applied - self.base.offset > self.kept
+            && let Some(oldest) = self.log.pop_front()
+        {
+            self.base = oldest.position;
+        }
     }
 }
 
--- a/crates/standin/src/replication.rs
+++ b/crates/standin/src/replication.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        group::{GroupRole, GroupState, LogEntry, LogHistory},
+        group::{GroupImage, GroupRole, GroupState, LogEntry, LogHistory},
         shared::SharedServer,
     },
     banyansill_runtime::clock::wall_millis,
@@ -37,6 +37,8 @@
 struct ReplicaHello {
     term: u64,
     history: LogHistory,
+    /// Whether the log cannot be continued and everything has to be sent.
+    needs_image: bool,
 }
 
 /// Message of a primary.
@@ -44,6 +46,8 @@
 enum PrimaryMessage {
     /// The replica continues after the offset.
     Start { term: u64, common: u64 },
+    /// The replica replaces everything and continues after the image.
+    Image(Box<GroupImage>),
     /// The server cannot be followed.
     Refused { reason: String },
     /// Next entries.
@@ -89,8 +93,11 @@
     };
     isolated.wait_for(|isolated| !*isolated).await.map_err(io::Error::other)?;
     send(&mut stream, &start).await?;
-    let PrimaryMessage::Start { common, .. } = start else { return Ok(()) };
-    let mut sent = common;
+    let mut sent = match start {
+        PrimaryMessage::Start { common, .. } => common,
+        PrimaryMessage::Image(image) => image.position.offset,
+        _ => return Ok(()),
+    };
     loop {
         isolated.wait_for(|isolated| !*isolated).await.map_err(io::Error::other)?;
         changed.mark_unchanged();
@@ -99,7 +106,10 @@
             if state.epoch != epoch {
                 return Ok(());
             }
-            (state.entries_after(sent, BATCH_ENTRIES), state.log_end())
+            let Some(entries) = state.entries_after(sent, BATCH_ENTRIES) else {
+                return Err(io::Error::other("the entries are not kept any more"));
+            };
+            (entries, state.log_end())
         };
         sent += entries.len() as u64;
         if !entries.is_empty() {
@@ -141,6 +151,9 @@
     if hello.history.end > common && last >= state.term {
         return refuse(format!("the replica has entries of term {last} that are unknown here"));
     }
+    if hello.needs_image || state.entries_after(common, 0).is_none() {
+        return PrimaryMessage::Image(Box::new(state.image()));
+    }
     PrimaryMessage::Start { term: state.term, common }
 }
 
@@ -189,14 +202,17 @@
     stream.set_nodelay(true)?;
     let hello = {
         let state = shared.read();
-        ReplicaHello { term: state.term, history: state.history() }
+        ReplicaHello { term: state.term, history: state.history(), needs_image: state.needs_image }
     };
     send(&mut stream, &hello).await?;
     let mut buffer = BytesMut::new();
     loop {
         wait_connected(&mut isolated).await?;
-        let message = timeout(SILENCE_LIMIT, receive(&mut stream, &mut buffer)).await??;
+        let message = receive(&mut stream, &mut buffer).await?;
         wait_connected(&mut isolated).await?;
+        if let PrimaryMessage::Image(image) = &message {
+            wait_due(shared, image).await;
+        }
         let mut state = shared.write();
         if state.epoch != epoch {
             return Ok(());
@@ -208,15 +224,23 @@
                     return Err(io::Error::other("the primary has an older term"));
                 }
                 state.adopt_term(term);
-                if common < state.log_end() {
-                    let server = &shared.settings.server;
-                    log::info!(
-                        "{server}: removing {} entries after {common}",
-                        state.log_end() - common
-                    );
-                    state.truncate(common);
+                let server = &shared.settings.server;
+                let surplus = state.log_end().saturating_sub(common);
+                if surplus > 0 {
+                    log::info!("{server}: {surplus} entries after {common} are not the primary's");
+                }
+                if !state.truncate(common) {
+                    state.needs_image = true;
+                    return Err(io::Error::other("the log cannot be cut, an image is needed"));
                 }
             }
+            PrimaryMessage::Image(image) => {
+                if image.position.term.0 < state.term {
+                    return Err(io::Error::other("the primary has an older term"));
+                }
+                state.adopt_term(image.position.term.0);
+                state.install(*image);
+            }
             PrimaryMessage::Entries(entries) => {
                 for entry in entries {
                     if !state.receive(entry) {
@@ -252,6 +276,23 @@
     }
 }
 
+/// Waits until an image may become visible; the lag may change meanwhile.
+async fn wait_due(shared: &SharedServer, image: &GroupImage) {
+    let mut changed = shared.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        let due = shared.read().image_due(image);
+        let left = due.saturating_sub(wall_millis());
+        if left == 0 {
+            return;
+        }
+        tokio::select! {
+            () = sleep(Duration::from_millis(left)) => {}
+            _ = changed.changed() => {}
+        }
+    }
+}
+
 async fn wait_connected(isolated: &mut watch::Receiver<bool>) -> io::Result<()> {
     isolated.wait_for(|isolated| !*isolated).await.map_err(io::Error::other)?;
     Ok(())
@@ -285,7 +326,8 @@
                 return Ok(serde_json::from_slice(&body)?);
             }
         }
-        if stream.read_buf(buffer).await? == 0 {
+        // The limit is on each read, since an image takes longer as a whole.
+        if timeout(SILENCE_LIMIT, stream.read_buf(buffer)).await?? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -122,6 +122,13 @@
         self.shared.faults.silent.send_replace(SilentRange { up_to, all: false });
     }
 
+    /// Interrupts everything that the server sends, as a process does that is paused.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.set_silent(frozen);
+        self.set_isolated(frozen);
+        self.set_mute(frozen);
+    }
+
     /// Closes the open connections.
     pub fn cut_connections(&self) {
         let up_to = self.shared.last_pid.load(Ordering::Relaxed);
@@ -130,7 +137,7 @@
 
     /// Announces that the server is leaving, waits for the time set in its settings and ends it.
     pub async fn stop(self) {
-        self.shared.leaving.store(true, Ordering::Relaxed);
+        self.shared.leaving.send_replace(true);
         tokio::time::sleep(Duration::from_millis(self.shared.settings.leave_ms)).await;
         self.kill().await;
     }
--- a/crates/standin/src/session/execute.rs
+++ b/crates/standin/src/session/execute.rs
@@ -16,7 +16,7 @@
             plan::{AdminCall, QueryPlan, QuerySource, StatementPlan},
             write,
         },
-        value::Value,
+        value::{SharedRow, Value},
     },
     pgwire::messages::{
         extendedquery::PortalSuspended,
@@ -141,7 +141,10 @@
         if let StatementPlan::Query(query) = plan
             && !query.lock
         {
-            let status = shared.status();
+            let status = match query.source {
+                QuerySource::Status => shared.status(),
+                _ => SharedRow::from([]),
+            };
             let state = shared.read();
             state.check_snapshot(transaction)?;
             let recovery = state.role != GroupRole::Primary;
--- a/crates/standin/src/session/mod.rs
+++ b/crates/standin/src/session/mod.rs
@@ -92,6 +92,7 @@
     variables: SessionVariables,
     position: LogPosition,
     reported: Option<LogPosition>,
+    reported_variables: Vec<(&'static str, String)>,
     skip_to_sync: bool,
     pass: Option<StatementPass>,
     owed_us: u64,
@@ -227,6 +228,14 @@
         {
             self.position = transaction.snapshot.position;
         }
+        if self.variables.take_changed() {
+            for (name, value) in self.variables.reported() {
+                let known = self.reported_variables.iter_mut().find(|(known, _)| *known == name);
+                let Some((_, known)) = known.filter(|(_, known)| *known != value) else { continue };
+                known.clone_from(&value);
+                encode(&ParameterStatus::new(name.to_owned(), value), &mut self.output)?;
+            }
+        }
         if self.reported != Some(self.position) {
             self.report(POSITION_PARAMETER, &self.position.to_string())?;
             self.reported = Some(self.position);
--- a/crates/standin/src/session/startup.rs
+++ b/crates/standin/src/session/startup.rs
@@ -108,6 +108,7 @@
         variables: SessionVariables::new(&startup.parameters),
         position: LogPosition::ZERO,
         reported: None,
+        reported_variables: Vec::new(),
         skip_to_sync: false,
         pass: None,
         owed_us: 0,
@@ -130,7 +131,8 @@
             encode(&NegotiateProtocolVersion::new(0, unknown), &mut self.output)?;
         }
         encode(&Authentication::Ok, &mut self.output)?;
-        for (name, value) in self.variables.reported() {
+        self.reported_variables = self.variables.reported();
+        for (name, value) in self.reported_variables.clone() {
             self.report(name, &value)?;
         }
         let key = BackendKeyData::new(self.pid, SecretKey::I32(secret));
--- a/crates/standin/src/session/transaction.rs
+++ b/crates/standin/src/session/transaction.rs
@@ -24,7 +24,7 @@
     /// Moves a transaction that has not read anything to the current data.
     pub(super) fn refresh_snapshot(&mut self) {
         let Some(transaction) = &mut self.transaction else { return };
-        if !transaction.used {
+        if !transaction.used && !self.shared.read().is_current(transaction) {
             self.shared.write().refresh(transaction);
         }
     }
--- a/crates/standin/src/session/utility.rs
+++ b/crates/standin/src/session/utility.rs
@@ -1,7 +1,7 @@
 //! Transaction control, settings and other statements without data.
 
 use {
-    super::{CallerSession, TransactionBlock, variables::SessionVariables},
+    super::{CallerSession, TransactionBlock},
     crate::{
         error::SqlError,
         sql::{fold, plan::OutputColumn, simple_name},
@@ -78,7 +78,7 @@
                 match &reset.reset {
                     Reset::ALL => self.variables.reset(),
                     Reset::ConfigurationParameter(name) => {
-                        self.change(&setting_name(name)?, None, false)?;
+                        self.variables.set(&setting_name(name)?, None, false)?;
                     }
                     Reset::SessionAuthorization => {
                         return Err(SqlError::unsupported("RESET SESSION AUTHORIZATION"));
@@ -113,14 +113,14 @@
                     Some(_) => return Err(SqlError::unsupported(format!("the statement {set}"))),
                 };
                 let value = setting_value(values)?;
-                self.change(&setting_name(variable)?, value, local)
+                self.variables.set(&setting_name(variable)?, value, local)
             }
             Set::SetTimeZone { local, value } => {
                 let value = setting_value(std::slice::from_ref(value))?;
-                self.change("timezone", value, *local)
+                self.variables.set("timezone", value, *local)
             }
             Set::SetNames { charset_name, collation_name: None } => {
-                self.change("client_encoding", Some(charset_name.value.clone()), false)
+                self.variables.set("client_encoding", Some(charset_name.value.clone()), false)
             }
             Set::SetTransaction { modes, snapshot: None, session: false } => {
                 let Some(read_only) = read_only_mode(modes)? else { return Ok(()) };
@@ -141,22 +141,12 @@
             Set::SetTransaction { modes, snapshot: None, session: true } => {
                 let Some(read_only) = read_only_mode(modes)? else { return Ok(()) };
                 let value = if read_only { "on" } else { "off" };
-                self.change("default_transaction_read_only", Some(value.to_owned()), false)
+                self.variables.set("default_transaction_read_only", Some(value.to_owned()), false)
             }
             other => Err(SqlError::unsupported(format!("the statement {other}"))),
         }
     }
 
-    fn change(&mut self, name: &str, value: Option<String>, local: bool) -> Result<(), SqlError> {
-        self.variables.set(name, value, local)?;
-        if let Some(reported) = SessionVariables::report_name(name) {
-            let value = self.variables.get(name)?;
-            self.report(reported, &value)
-                .map_err(|error| SqlError::new("08P01", error.to_string()))?;
-        }
-        Ok(())
-    }
-
     fn show(&self, variable: &[Ident]) -> Result<UtilityResult, SqlError> {
         let name = variable_name(variable);
         let value = match name.as_str() {
--- a/crates/standin/src/session/variables.rs
+++ b/crates/standin/src/session/variables.rs
@@ -38,6 +38,7 @@
     current: BTreeMap<String, String>,
     before_block: Option<BTreeMap<String, String>>,
     local: BTreeMap<String, Option<String>>,
+    changed: bool,
 }
 
 impl SessionVariables {
@@ -51,7 +52,7 @@
             }
         }
         let current = startup.clone();
-        Self { startup, current, before_block: None, local: BTreeMap::new() }
+        Self { startup, current, before_block: None, local: BTreeMap::new(), changed: false }
     }
 
     /// Returns the reported settings.
@@ -112,6 +113,7 @@
 
     /// Takes every change back.
     pub fn reset(&mut self) {
+        self.changed = true;
         self.current = self.startup.clone();
         self.local.clear();
     }
@@ -128,6 +130,7 @@
         let before = self.before_block.take();
         let local = std::mem::take(&mut self.local);
         if !committed {
+            self.changed = true;
             self.current = before.unwrap_or_else(|| self.current.clone());
             return;
         }
@@ -141,15 +144,13 @@
         self.current.get("default_transaction_read_only").is_some_and(|value| value == "on")
     }
 
-    /// Returns the name under which changes of a setting are reported, if they are.
-    pub fn report_name(name: &str) -> Option<&'static str> {
-        CHANGEABLE
-            .iter()
-            .find(|(known, _, report)| *known == name && *report)
-            .map(|(known, _, _)| spelling(known))
+    /// Returns whether settings may have changed since the last call.
+    pub const fn take_changed(&mut self) -> bool {
+        std::mem::replace(&mut self.changed, false)
     }
 
     fn store(&mut self, name: &str, value: Option<String>) {
+        self.changed = true;
         match value {
             Some(value) => self.current.insert(name.to_owned(), value),
             None => self.current.remove(name),
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -9,6 +9,9 @@
 /// Most slots or connections of one server; more only uses up the machine.
 const CAPACITY_LIMIT: u64 = 10_000;
 
+/// Most log entries kept; an entry takes about 300 bytes for a small row.
+const LOG_ENTRIES_LIMIT: u64 = 10_000_000;
+
 /// Longest settable delay: one hour.
 const DELAY_LIMIT_MS: u64 = 3_600_000;
 
@@ -50,6 +53,8 @@
     pub statement_cost_us: u64,
     /// Delay between a commit and its visibility on a replica.
     pub lag_ms: u64,
+    /// Applied log entries that are kept for replicas; a replica further behind gets everything.
+    pub log_entries: u64,
     /// HTTP addresses of control replicas.
     pub control: Vec<SocketAddr>,
     /// Time between the announcement that the server is leaving and its end.
@@ -77,6 +82,7 @@
             connection_cost_ms: 12,
             statement_cost_us: 0,
             lag_ms: 0,
+            log_entries: 50_000,
             control: Vec::new(),
             leave_ms: 3_000,
             log: "info".to_owned(),
@@ -128,6 +134,8 @@
             DELAY_LIMIT_MS * 1_000,
         );
         settings.lag_ms = reader.number("lag_ms", settings.lag_ms, 0, DELAY_LIMIT_MS);
+        settings.log_entries =
+            reader.number("log_entries", settings.log_entries, 1, LOG_ENTRIES_LIMIT);
         settings.leave_ms = reader.number("leave_ms", settings.leave_ms, 0, DELAY_LIMIT_MS);
         settings.control = reader.list("control");
         if let Some(log) = reader.optional_string("log") {
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -125,7 +125,7 @@
     /// Notified when the log, the lag or the role changes.
     pub changed: watch::Sender<u64>,
     /// Set when the server announces that it is leaving.
-    pub leaving: AtomicBool,
+    pub leaving: watch::Sender<bool>,
     /// Number of the connection accepted last.
     pub last_pid: AtomicI32,
     /// Set when every task has to end.
@@ -159,12 +159,18 @@
                 mute: AtomicBool::new(false),
             },
             changed: watch::channel(0).0,
-            leaving: AtomicBool::new(false),
+            leaving: watch::channel(false).0,
             last_pid: AtomicI32::new(0),
             ended: watch::channel(false).0,
             connection_cost_ms: AtomicU64::new(settings.connection_cost_ms),
             statement_cost_us: AtomicU64::new(settings.statement_cost_us),
-            state: RwLock::new(GroupState::new(role, settings.term, settings.lag_ms, incarnation)),
+            state: RwLock::new(GroupState::new(
+                role,
+                settings.term,
+                settings.lag_ms,
+                settings.log_entries,
+                incarnation,
+            )),
             sessions: Mutex::new(SessionTable::default()),
             settings,
         }
--- a/crates/standin/src/sql/plan.rs
+++ b/crates/standin/src/sql/plan.rs
@@ -113,8 +113,8 @@
     pub targets: Vec<usize>,
     /// Values.
     pub source: InsertSource,
-    /// Whether rows whose key exists are left out.
-    pub skip_conflicts: bool,
+    /// Unique constraints for which rows are left out if their key exists.
+    pub skip: Vec<usize>,
     /// Result.
     pub returning: ReturningPlan,
 }
--- a/crates/standin/src/sql/query.rs
+++ b/crates/standin/src/sql/query.rs
@@ -10,6 +10,7 @@
             SortValue,
         },
         simple_name,
+        typing::column_type,
     },
     crate::{
         error::SqlError,
@@ -114,7 +115,8 @@
 }
 
 fn check_select(select: &Select) -> Result<(), SqlError> {
-    let plain = select.distinct.is_none()
+    let plain = !select.projection.is_empty()
+        && select.distinct.is_none()
         && select.top.is_none()
         && select.exclude.is_none()
         && select.into.is_none()
@@ -411,7 +413,7 @@
         Expr::CompoundIdentifier(parts) => parts.last().map(fold).unwrap_or_default(),
         Expr::Function(function) => simple_name(&function.name).unwrap_or_default(),
         Expr::Cast { expr, data_type, .. } => match output_name(expr) {
-            name if name == "?column?" => data_type.to_string().to_lowercase(),
+            name if name == "?column?" => column_type(data_type).map_or(name, cast_name),
             name => name,
         },
         Expr::Nested(inner) => output_name(inner),
@@ -420,6 +422,18 @@
     }
 }
 
+fn cast_name(kind: ColumnType) -> String {
+    match kind {
+        ColumnType::Bool => "bool",
+        ColumnType::Int4 => "int4",
+        ColumnType::Int8 => "int8",
+        ColumnType::Float8 => "float8",
+        ColumnType::Text => "text",
+        ColumnType::Void => "void",
+    }
+    .to_owned()
+}
+
 fn bind_sort(
     item: &OrderByExpr,
     columns: &[OutputColumn],
--- a/crates/standin/src/sql/write.rs
+++ b/crates/standin/src/sql/write.rs
@@ -20,8 +20,8 @@
         value::{SharedRow, Value},
     },
     sqlparser::ast::{
-        AssignmentTarget, Delete, Expr, FromTable, Insert, ObjectName, OnConflictAction, OnInsert,
-        Query, SetExpr, TableObject, Update,
+        AssignmentTarget, ConflictTarget, Delete, Expr, FromTable, Insert, ObjectName,
+        OnConflictAction, OnInsert, Query, SetExpr, TableObject, Update,
     },
     std::{cell::Cell, sync::Arc},
 };
@@ -56,21 +56,8 @@
     if !plain {
         return Err(SqlError::unsupported(format!("the statement {insert}")));
     }
-    let skip_conflicts = match &insert.on {
-        None => false,
-        Some(OnInsert::OnConflict(conflict))
-            if conflict.conflict_target.is_none()
-                && matches!(conflict.action, OnConflictAction::DoNothing) =>
-        {
-            true
-        }
-        Some(_) => {
-            return Err(SqlError::unsupported(
-                "ON CONFLICT other than DO NOTHING without a target",
-            ));
-        }
-    };
     let schema = data.schema(transaction, &simple_name(name)?)?;
+    let skip = bind_conflict(insert.on.as_ref(), &schema)?;
     let mut targets = Vec::new();
     for column in &insert.columns {
         let index = target_column(&schema, column)?;
@@ -92,7 +79,7 @@
     };
     let scope = table_scope(&schema);
     let returning = bind_returning(insert.returning.as_deref(), &scope, parameters)?;
-    Ok(InsertPlan { schema, targets, source, skip_conflicts, returning })
+    Ok(InsertPlan { schema, targets, source, skip, returning })
 }
 
 fn bind_values(
@@ -149,6 +136,47 @@
     Ok(InsertSource::Rows(rows))
 }
 
+/// Returns the unique constraints of `ON CONFLICT DO NOTHING`.
+fn bind_conflict(clause: Option<&OnInsert>, schema: &TableSchema) -> Result<Vec<usize>, SqlError> {
+    let conflict = match clause {
+        None => return Ok(Vec::new()),
+        Some(OnInsert::OnConflict(conflict))
+            if matches!(conflict.action, OnConflictAction::DoNothing) =>
+        {
+            conflict
+        }
+        Some(_) => return Err(SqlError::unsupported("ON CONFLICT other than DO NOTHING")),
+    };
+    let wanted = match &conflict.conflict_target {
+        None => return Ok((0..schema.uniques.len()).collect()),
+        Some(ConflictTarget::Columns { columns, predicate: None }) => columns,
+        Some(other) => return Err(SqlError::unsupported(format!("the conflict target {other}"))),
+    };
+    let mut columns = Vec::with_capacity(wanted.len());
+    for ident in wanted {
+        let name = fold(ident);
+        columns.push(
+            schema.column(&name).ok_or_else(|| {
+                SqlError::new("42703", format!("column \"{name}\" does not exist"))
+            })?,
+        );
+    }
+    columns.sort_unstable();
+    let mut skip = Vec::new();
+    for (index, unique) in schema.uniques.iter().enumerate() {
+        let mut own = unique.columns.clone();
+        own.sort_unstable();
+        if own == columns {
+            skip.push(index);
+        }
+    }
+    if skip.is_empty() {
+        let message = "there is no unique constraint matching the ON CONFLICT specification";
+        return Err(SqlError::new("42P10", message));
+    }
+    Ok(skip)
+}
+
 /// Cuts the targets to the number of values, which may be smaller if no columns are named.
 fn fit_targets(targets: &mut Vec<usize>, named: bool, given: usize) -> Result<(), SqlError> {
     if given > targets.len() {
@@ -278,14 +306,8 @@
         }
         let row = checked_row(schema, row)?;
         let id = data.allocate_row();
-        match writes.put(id, None, Some(row.clone()), data, transaction) {
-            Ok(()) => {}
-            Err(StatementHalt::Failed(error))
-                if plan.skip_conflicts && error.sqlstate == "23505" =>
-            {
-                continue;
-            }
-            Err(halt) => return Err(halt),
+        if !writes.put(id, None, Some(row.clone()), &plan.skip, data, transaction)? {
+            continue;
         }
         result.1 += 1;
         if !plan.returning.columns.is_empty() {
@@ -363,7 +385,7 @@
                 Some(checked_row(schema, row)?)
             }
         };
-        writes.put(id, Some(&old), new.clone(), data, transaction)?;
+        writes.put(id, Some(&old), new.clone(), &[], data, transaction)?;
         result.1 += 1;
         if !plan.returning.columns.is_empty() {
             result.0.push(plan.returning.row(new.as_ref().unwrap_or(&old), &context)?);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -42,6 +42,22 @@
     },
 }
 
+/// Rows and sequences of one table.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct TableImage {
+    schema: Arc<TableSchema>,
+    sequences: Vec<(usize, i64)>,
+    rows: Vec<(u64, SharedRow)>,
+}
+
+/// Whole data at one position.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoreImage {
+    tables: Vec<TableImage>,
+    next_table: u64,
+    next_row: u64,
+}
+
 /// Point in the log that a transaction reads at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DataSnapshot {
@@ -130,6 +146,8 @@
 
     /// Writes a row, or deletes it without `new`; `old` is the row that it replaces.
     ///
+    /// Returns false without a write if another row has a key of one of the indexes in `skip`.
+    ///
     /// # Errors
     ///
     /// Returns 23505 if another row has a key of the new one, or a halt if a key is locked.
@@ -138,9 +156,10 @@
         id: u64,
         old: Option<&SharedRow>,
         new: Option<SharedRow>,
+        skip: &[usize],
         data: &mut DataStore,
         transaction: &OpenTransaction,
-    ) -> Result<(), StatementHalt> {
+    ) -> Result<bool, StatementHalt> {
         let schema = self.schema.clone();
         let mut changed = Vec::new();
         for (index, unique) in schema.uniques.iter().enumerate() {
@@ -156,6 +175,9 @@
             if let Some(key) = &after
                 && self.is_taken(index, key, id, data, transaction)
             {
+                if skip.contains(&index) {
+                    return Ok(false);
+                }
                 let message =
                     format!("duplicate key value violates unique constraint \"{}\"", unique.name);
                 return Err(SqlError::new("23505", message).into());
@@ -171,7 +193,7 @@
             }
         }
         self.rows.insert(id, new);
-        Ok(())
+        Ok(true)
     }
 
     /// Makes the rows part of the transaction.
@@ -428,6 +450,38 @@
         }
     }
 
+    /// Returns all data that a snapshot at `offset` sees.
+    pub fn image(&self, offset: u64) -> StoreImage {
+        let mut tables = Vec::with_capacity(self.tables.len());
+        for table in self.tables.values() {
+            let mut rows = Vec::new();
+            let mut after = None;
+            while let Some((id, row)) = table.next_visible(after, offset) {
+                rows.push((id, row.clone()));
+                after = Some(id);
+            }
+            let sequences = table.sequences.iter().map(|(column, next)| (*column, *next)).collect();
+            tables.push(TableImage { schema: table.schema.clone(), sequences, rows });
+        }
+        StoreImage { tables, next_table: self.next_table, next_row: self.next_row }
+    }
+
+    /// Replaces all data by an image of `offset`; open snapshots become void.
+    pub fn install(&mut self, offset: u64, image: StoreImage) {
+        self.reset();
+        self.next_table = image.next_table;
+        self.next_row = image.next_row;
+        for table in image.tables {
+            let mut rows = TableRows::new(table.schema.clone());
+            rows.sequences.extend(table.sequences);
+            for (id, row) in table.rows {
+                rows.write(id, offset, Some(row));
+            }
+            self.names.insert(table.schema.name.clone(), table.schema.id);
+            self.tables.insert(table.schema.id, rows);
+        }
+    }
+
     /// Discards all data; open snapshots become void, locks and transaction numbers stay.
     pub fn reset(&mut self) {
         let fresh = Self {
--- a/crates/standin/src/value.rs
+++ b/crates/standin/src/value.rs
@@ -261,6 +261,9 @@
             Self::Null => Ok(()),
             Self::Bool(value) => formatter.write_str(if *value { "t" } else { "f" }),
             Self::Int(value) => write!(formatter, "{value}"),
+            Self::Float(value) if value.is_infinite() => {
+                formatter.write_str(if *value > 0.0 { "Infinity" } else { "-Infinity" })
+            }
             Self::Float(value) => write!(formatter, "{value}"),
             Self::Text(value) => formatter.write_str(value),
         }
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -238,8 +238,11 @@
     assert_eq!(client.query("DEALLOCATE a").await, ["complete DEALLOCATE", "ready I"]);
     assert_eq!(client.query("DEALLOCATE a").await, ["error 26000", "ready I"]);
     let answers = client.query("SET application_name = 'counter'").await;
-    assert_eq!(answers, ["status application_name counter", "complete SET", "ready I"]);
-    client.query("DISCARD ALL").await;
+    assert_eq!(answers, ["complete SET", "status application_name counter", "ready I"]);
+    let answers = client.query("BEGIN; SET application_name = 'other'; ROLLBACK").await;
+    assert!(!answers.iter().any(|answer| answer.starts_with("status application_name other")));
+    let answers = client.query("DISCARD ALL").await;
+    assert_eq!(answers, ["complete DISCARD ALL", "status application_name ", "ready I"]);
     assert_eq!(client.query("DEALLOCATE b").await, ["error 26000", "ready I"]);
     let plain = connect(&server).await;
     plain.batch_execute("SET my.tag = 'x'; BEGIN; SET LOCAL my.tag = 'y'").await.unwrap();
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use {
+    banyansill_standin::{settings::StartRole, spawn},
     std::time::{Duration, Instant},
-    support::{connect, eventually, failure, primary, replica_of, rows, status},
+    support::{connect, eventually, failure, primary, replica_of, rows, run, settings, status},
 };
 
 /// Guards against a replica that misses commits, shows them before the lag or accepts writes.
@@ -47,27 +48,35 @@
 /// Guards against a promotion that loses received entries or keeps a divergent tail.
 #[tokio::test]
 async fn promotion_keeps_what_was_received_and_removes_the_divergent_tail() {
-    let first = primary().await;
-    let second = replica_of(&first).await;
+    // With few entries kept, the tail is replaced by an image instead of being cut off.
+    for log_entries in [1_000, 2] {
+        promote_and_follow(log_entries).await;
+    }
+}
+
+async fn promote_and_follow(log_entries: u64) {
+    let mut options = settings(StartRole::Primary);
+    options.log_entries = log_entries;
+    let first = spawn(options.clone()).await.expect("the primary starts");
+    options.role = StartRole::Replica(Some(first.replication_address()));
+    let second = spawn(options).await.expect("the replica starts");
     let old = connect(&first).await;
-    old.batch_execute("CREATE TABLE t (id int PRIMARY KEY); INSERT INTO t VALUES (1)")
-        .await
-        .unwrap();
+    run(&old, "CREATE TABLE t (id int PRIMARY KEY); INSERT INTO t VALUES (1)").await;
     eventually("replicated", || async { second.position() == first.position() }).await;
     second.set_lag(Duration::from_secs(60));
-    old.batch_execute("INSERT INTO t VALUES (2)").await.unwrap();
+    run(&old, "INSERT INTO t VALUES (2)").await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     second.set_isolated(true);
     // The old primary goes on alone and its log becomes longer than the new one.
     for id in 10..20 {
-        old.batch_execute(&format!("INSERT INTO t VALUES ({id})")).await.unwrap();
+        run(&old, &format!("INSERT INTO t VALUES ({id})")).await;
     }
     let new = connect(&second).await;
     assert_eq!(failure(&new, "SELECT group_promote(1)").await, "55000");
     let start = rows(&new, "SELECT group_promote(2)").await;
     assert_eq!(rows(&new, "SELECT group_promote(2)").await, start, "repeated promotion");
     assert_eq!(status(&new).await.2.to_string(), start[0]);
-    new.batch_execute("INSERT INTO t VALUES (3)").await.unwrap();
+    run(&new, "INSERT INTO t VALUES (3)").await;
     second.set_isolated(false);
     assert_eq!(status(&old).await.0, "primary", "not told yet");
     let follow = |term| format!("SELECT group_follow({term}, '{}')", second.replication_address());
@@ -78,7 +87,117 @@
     assert_eq!(rows(&old, "SELECT id FROM t ORDER BY id").await, ["1", "2", "3"]);
     assert_eq!(failure(&old, "INSERT INTO t VALUES (4)").await, "25006");
     // Keys of the removed entries are free again.
-    new.batch_execute("INSERT INTO t VALUES (10)").await.unwrap();
+    run(&new, "INSERT INTO t VALUES (10)").await;
+    second.kill().await;
+    first.kill().await;
+}
+
+/// Guards against a log that grows without bound, and against a new replica that cannot catch up
+/// because early entries are gone.
+#[tokio::test]
+async fn late_replica_gets_what_the_log_has_forgotten() {
+    let mut options = settings(StartRole::Primary);
+    options.log_entries = 5;
+    let first = spawn(options).await.unwrap();
+    let writer = connect(&first).await;
+    writer.batch_execute("CREATE TABLE t (id serial PRIMARY KEY, note text)").await.unwrap();
+    for _ in 0..50 {
+        writer.batch_execute("INSERT INTO t (note) VALUES ('n')").await.unwrap();
+    }
+    writer.batch_execute("DELETE FROM t WHERE id = 7").await.unwrap();
+    let second = replica_of(&first).await;
+    eventually("caught up", || async { second.position() == first.position() }).await;
+    let reader = connect(&second).await;
+    let all = "SELECT count(*), sum(id) FROM t WHERE note = 'n'";
+    assert_eq!(rows(&reader, all).await, rows(&writer, all).await);
+    writer.batch_execute("INSERT INTO t (note) VALUES ('last')").await.unwrap();
+    eventually("goes on", || async { second.position() == first.position() }).await;
+    assert_eq!(rows(&reader, "SELECT id FROM t WHERE note = 'last'").await, ["51"]);
+    rows(&reader, "SELECT group_promote(2)").await;
+    let promoted = "INSERT INTO t (note) VALUES ('own') RETURNING id";
+    assert_eq!(rows(&reader, promoted).await, ["52"], "sequence goes on");
+    second.kill().await;
+    first.kill().await;
+}
+
+/// Guards against a freshness that rises while the replica is cut off, or stays behind when idle.
+#[tokio::test]
+async fn freshness_follows_the_primary() {
+    let first = primary().await;
+    let second = replica_of(&first).await;
+    let reader = connect(&second).await;
+    let fresh = || async {
+        let row = reader.query_one("SELECT replayed_at_ms FROM group_status()", &[]).await;
+        row.expect("the status is answered").get::<_, i64>(0)
+    };
+    let now = || i64::try_from(banyansill_runtime::clock::wall_millis()).unwrap_or(i64::MAX);
+    eventually("fresh", || async { now() - fresh().await < 200 }).await;
+    second.set_lag(Duration::from_millis(400));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let behind = now() - fresh().await;
+    assert!((400..900).contains(&behind), "{behind} ms behind with 400 ms of lag");
+    second.set_isolated(true);
+    second.set_lag(Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let cut = fresh().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(fresh().await, cut);
+    second.set_isolated(false);
+    eventually("fresh again", || async { now() - fresh().await < 200 }).await;
+    second.kill().await;
+    first.kill().await;
+}
+
+/// Guards against a group that loses acknowledged data because a primary came back empty.
+#[tokio::test]
+async fn primary_that_lost_its_memory_is_not_followed() {
+    let first = primary().await;
+    let address = first.replication_address();
+    let second = replica_of(&first).await;
+    let writer = connect(&first).await;
+    writer.batch_execute("CREATE TABLE t (id int); INSERT INTO t VALUES (1)").await.unwrap();
+    eventually("replicated", || async { second.position() == first.position() }).await;
+    first.kill().await;
+    let mut options = settings(StartRole::Primary);
+    options.replication_listen = address;
+    let restarted = spawn(options).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let reader = connect(&second).await;
+    assert_eq!(rows(&reader, "SELECT id FROM t").await, ["1"]);
+    rows(&reader, "SELECT group_promote(2)").await;
+    let old = connect(&restarted).await;
+    rows(&old, &format!("SELECT group_follow(2, '{}')", second.replication_address())).await;
+    eventually("recovered", || async { restarted.position() == second.position() }).await;
+    assert_eq!(rows(&old, "SELECT id FROM t").await, ["1"]);
+    restarted.kill().await;
+    second.kill().await;
+}
+
+/// Guards against a commit on a server that has ceased to be the primary of the transaction's term,
+/// and against a transaction that goes on over replaced history.
+#[tokio::test]
+async fn open_transactions_do_not_survive_a_change_of_primary() {
+    let first = primary().await;
+    let second = replica_of(&first).await;
+    let (admin, writer, reader) =
+        (connect(&first).await, connect(&first).await, connect(&first).await);
+    writer.batch_execute("CREATE TABLE t (id int PRIMARY KEY)").await.unwrap();
+    eventually("replicated", || async { second.position() == first.position() }).await;
+    second.set_isolated(true);
+    writer.batch_execute("INSERT INTO t VALUES (1)").await.unwrap();
+    reader.batch_execute("BEGIN; SELECT * FROM t").await.unwrap();
+    writer.batch_execute("BEGIN; INSERT INTO t VALUES (2)").await.unwrap();
+    let new = connect(&second).await;
+    rows(&new, "SELECT group_promote(2)").await;
+    rows(&admin, &format!("SELECT group_follow(2, '{}')", second.replication_address())).await;
+    assert_eq!(failure(&writer, "COMMIT").await, "25006");
+    assert_eq!(rows(&reader, "SELECT id FROM t").await, ["1"], "same snapshot");
+    second.set_isolated(false);
+    eventually("the old primary follows", || async { first.position() == second.position() }).await;
+    assert_eq!(failure(&reader, "SELECT id FROM t").await, "40001");
+    assert!(rows(&admin, "SELECT id FROM t").await.is_empty());
+    rows(&admin, "SELECT group_promote(3)").await;
+    admin.batch_execute("INSERT INTO t VALUES (2)").await.unwrap();
     second.kill().await;
     first.kill().await;
 }
--- a/crates/standin/tests/statements.rs
+++ b/crates/standin/tests/statements.rs
@@ -173,5 +173,8 @@
         client.query("SELECT id FROM cups WHERE nothing = $1", &[&1_i32]).await.unwrap_err();
     assert_eq!(code(&error), "42703");
     assert_eq!(client.query("SELECT id FROM cups", &[]).await.unwrap().len(), 3);
+    let long = "x".repeat(5_000_000);
+    let row = client.query_one("SELECT $1 || 'y'", &[&long]).await.unwrap();
+    assert_eq!(row.get::<_, &str>(0).len(), 5_000_001);
     server.kill().await;
 }
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -64,6 +64,11 @@
     rows
 }
 
+/// Runs statements without looking at their rows.
+pub async fn run(client: &Client, text: &str) {
+    rows(client, text).await;
+}
+
 /// Runs a query that fails and returns the SQLSTATE.
 pub async fn failure(client: &Client, text: &str) -> String {
     match client.simple_query(text).await {
--- a/crates/standin/tests/transactions.rs
+++ b/crates/standin/tests/transactions.rs
@@ -128,7 +128,12 @@
     assert_eq!(failure(&first, "INSERT INTO stock VALUES (1, 1)").await, "23505", "own row");
     first.batch_execute("ROLLBACK; BEGIN; DELETE FROM stock WHERE id = 1").await.unwrap();
     first.batch_execute("INSERT INTO stock VALUES (1, 5); COMMIT").await.unwrap();
-    first.batch_execute("INSERT INTO stock VALUES (1, 6) ON CONFLICT DO NOTHING").await.unwrap();
+    for target in ["", "(id)"] {
+        let text = format!("INSERT INTO stock VALUES (1, 6) ON CONFLICT {target} DO NOTHING");
+        assert_eq!(first.execute(&text, &[]).await.unwrap(), 0);
+    }
+    let text = "INSERT INTO stock VALUES (1, 6) ON CONFLICT (count) DO NOTHING";
+    assert_eq!(failure(&first, text).await, "42P10");
     assert_eq!(rows(&first, "SELECT * FROM stock ORDER BY id").await, ["1|5", "2|20"]);
     first.batch_execute("UPDATE stock SET id = id + 10").await.unwrap();
     assert_eq!(rows(&first, "SELECT id FROM stock WHERE id = 11").await, ["11"]);
