--- a/crates/entry/tests/broker_support/mod.rs
+++ b/crates/entry/tests/broker_support/mod.rs
@@ -27,7 +27,7 @@
     postgres_protocol::message::frontend,
     std::{sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch, time::timeout},
-    tokio_stream::wrappers::TcpListenerStream,
+    tokio_stream::{StreamExt, wrappers::TcpListenerStream},
 };
 
 /// Runs a test on a multi-threaded runtime with a time limit.
@@ -84,10 +84,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let service = service(&self.handle);
+        // Without this each answer waits for a delayed acknowledgement.
+        let incoming = TcpListenerStream::new(listener).map(|stream| {
+            let stream = stream?;
+            stream.set_nodelay(true)?;
+            Ok::<_, std::io::Error>(stream)
+        });
         tokio::spawn(
-            tonic::transport::Server::builder()
-                .add_service(service)
-                .serve_with_incoming(TcpListenerStream::new(listener)),
+            tonic::transport::Server::builder().add_service(service).serve_with_incoming(incoming),
         );
         address
     }
