perf(entry): forward remote grants without a task of their own

A remote grant used a task and a channel for its outgoing messages; the stream now reads the session's input itself. A crowded peer gets up to four channels.

--- a/crates/entry/src/broker/remote.rs
+++ b/crates/entry/src/broker/remote.rs
@@ -13,14 +13,17 @@
     banyansill_runtime::clock::MonotonicClock,
     banyansill_wire::v1::{self, broker_client::BrokerClient, broker_input::Input},
     std::{
+        future::Future,
+        pin::Pin,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
-        sync::{mpsc, watch},
+        sync::{mpsc, oneshot},
         time::timeout,
     },
     tokio_stream::Stream,
@@ -42,6 +45,9 @@
 /// Time for the first answer of a call, after which a fresh connection is tried.
 const FIRST_ANSWER: Duration = Duration::from_millis(600);
 
+/// Time for the transport to drop the stream of a failed call.
+const GIVE_BACK: Duration = Duration::from_millis(100);
+
 /// A peer that was heard from within this time gets data before it has answered the open request.
 const RECENTLY: Micros = Micros::from_millis(400);
 
@@ -51,18 +57,42 @@
 /// Flow control window of one grant.
 const STREAM_WINDOW: u32 = 256 << 10;
 
+/// Grants on a channel above which another channel to the same host is opened: one connection is
+/// served by one task, which limits it to about ten thousand grants per second.
+const CROWDED: u32 = 16;
+
+/// Most channels to one host.
+const CHANNELS: usize = 4;
+
 #[derive(Debug)]
 struct PeerChannel {
     client: BrokerClient<Channel>,
     heard: AtomicU64,
-    generation: u64,
+    grants: AtomicU32,
+    stale: AtomicBool,
+}
+
+/// Counts one grant on its channel.
+struct ChannelUse(Arc<PeerChannel>);
+
+impl ChannelUse {
+    fn new(channel: Arc<PeerChannel>) -> Self {
+        channel.grants.fetch_add(1, Ordering::Relaxed);
+        Self(channel)
+    }
+}
+
+impl Drop for ChannelUse {
+    fn drop(&mut self) {
+        self.0.grants.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Channels to brokers on other hosts.
 #[derive(Debug)]
 pub(super) struct PeerPool {
     clock: MonotonicClock,
-    channels: Arc<Mutex<FastMap<SharedName, Arc<PeerChannel>>>>,
+    channels: Arc<Mutex<FastMap<SharedName, Vec<Arc<PeerChannel>>>>>,
 }
 
 impl Clone for PeerPool {
@@ -76,15 +106,23 @@
         Self { clock, channels: Arc::default() }
     }
 
-    /// Returns the kept channel, or a fresh one if `stale` is the generation of the kept one.
-    fn channel(&self, address: &SharedName, stale: Option<u64>) -> Option<Arc<PeerChannel>> {
+    /// Returns the kept channel with the fewest grants, or a fresh one if none is good.
+    fn channel(&self, address: &SharedName) -> Option<Arc<PeerChannel>> {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = channels.get(address);
-        let generation = match (kept, stale) {
-            (Some(kept), Some(stale)) if kept.generation == stale => stale + 1,
-            (Some(kept), _) => return Some(Arc::clone(kept)),
-            (None, _) => 0,
-        };
+        let kept = channels.entry(address.clone()).or_default();
+        kept.retain(|channel| !channel.stale.load(Ordering::Relaxed));
+        let mut best: Option<(&Arc<PeerChannel>, u32)> = None;
+        for channel in kept.iter() {
+            let grants = channel.grants.load(Ordering::Relaxed);
+            if best.is_none_or(|(_, least)| grants < least) {
+                best = Some((channel, grants));
+            }
+        }
+        if let Some((channel, grants)) = best
+            && (grants < CROWDED || kept.len() >= CHANNELS)
+        {
+            return Some(Arc::clone(channel));
+        }
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .ok()?
             .connect_timeout(CONNECT_TIMEOUT)
@@ -97,8 +135,13 @@
         let client = BrokerClient::new(endpoint.connect_lazy())
             .max_decoding_message_size(super::frame::MESSAGE_LIMIT + 1_024)
             .max_encoding_message_size(super::frame::MESSAGE_LIMIT + 1_024);
-        let channel = Arc::new(PeerChannel { client, heard: AtomicU64::new(0), generation });
-        channels.insert(address.clone(), Arc::clone(&channel));
+        let channel = Arc::new(PeerChannel {
+            client,
+            heard: AtomicU64::new(0),
+            grants: AtomicU32::new(0),
+            stale: AtomicBool::new(false),
+        });
+        kept.push(Arc::clone(&channel));
         Some(channel)
     }
 
@@ -115,8 +158,9 @@
     pub(super) fn run(&self, address: SharedName, peer: GrantPeer) {
         let pool = self.clone();
         tokio::spawn(async move {
-            let grant = RemoteGrant::new(pool, address, peer);
-            grant.run().await;
+            let GrantPeer { request, input, output } = peer;
+            let grant = RemoteGrant { pool, address, request, output, sent: Arc::default() };
+            grant.run(input).await;
         });
     }
 
@@ -130,9 +174,8 @@
         address: &SharedName,
         database: &SharedName,
     ) -> Result<LogPosition, FailureKind> {
-        let mut stale = None;
         for _ in 0..2 {
-            let channel = self.channel(address, stale).ok_or(FailureKind::Unreachable)?;
+            let channel = self.channel(address).ok_or(FailureKind::Unreachable)?;
             let request = v1::MarkRequest { database: database.to_string() };
             let mut client = channel.client.clone();
             if let Ok(Ok(reply)) = timeout(FIRST_ANSWER, client.high_water_mark(request)).await {
@@ -146,7 +189,7 @@
                     }
                 };
             }
-            stale = Some(channel.generation);
+            channel.stale.store(true, Ordering::Relaxed);
         }
         Err(FailureKind::Unreachable)
     }
@@ -160,7 +203,7 @@
         position: LogPosition,
         span: Micros,
     ) -> bool {
-        let Some(channel) = self.channel(address, None) else { return false };
+        let Some(channel) = self.channel(address) else { return false };
         // Short questions, so that a silent path is replaced while time is left.
         let wait = span.as_duration().min(FIRST_ANSWER / 2);
         let request = v1::PositionRequest {
@@ -176,7 +219,7 @@
                 reply.into_inner().reached
             }
             Ok(Err(_)) | Err(_) => {
-                let _ = self.channel(address, Some(channel.generation));
+                channel.stale.store(true, Ordering::Relaxed);
                 false
             }
         }
@@ -189,31 +232,14 @@
     address: SharedName,
     request: GrantRequest,
     output: mpsc::Sender<LinkOutput>,
-    source: Option<mpsc::Receiver<LinkInput>>,
     /// Data has been handed to the transport.
     sent: Arc<AtomicBool>,
 }
 
-/// Part of the input that was not handed to the transport, shared with the outgoing stream.
-type SharedInput = Arc<tokio::sync::Mutex<mpsc::Receiver<LinkInput>>>;
-
 impl RemoteGrant {
-    fn new(pool: PeerPool, address: SharedName, peer: GrantPeer) -> Self {
-        Self {
-            pool,
-            address,
-            request: peer.request,
-            output: peer.output,
-            source: Some(peer.input),
-            sent: Arc::default(),
-        }
-    }
-
-    async fn run(mut self) {
-        let Some(source) = self.source.take() else { return };
-        let input: SharedInput = Arc::new(tokio::sync::Mutex::new(source));
-        let end = match self.open(&input).await {
-            Ok((channel, stream)) => self.forward(&channel, stream).await,
+    async fn run(self, input: mpsc::Receiver<LinkInput>) {
+        let end = match self.open(input).await {
+            Ok((channel, stream)) => self.forward(&channel.0, stream).await,
             Err(end) => Some(end),
         };
         if let Some(end) = end {
@@ -221,36 +247,44 @@
         }
     }
 
+    // Tries a fresh connection as long as nothing but the open request was sent.
     async fn open(
         &self,
-        input: &SharedInput,
-    ) -> Result<(Arc<PeerChannel>, Streaming<v1::BrokerOutput>), LinkOutput> {
-        let mut stale = None;
+        mut input: mpsc::Receiver<LinkInput>,
+    ) -> Result<(ChannelUse, Streaming<v1::BrokerOutput>), LinkOutput> {
         for attempt in 0..2 {
             let channel = self
                 .pool
-                .channel(&self.address, stale)
+                .channel(&self.address)
                 .ok_or_else(|| self.verdict("bad address of the broker"))?;
-            let recent = attempt == 0 && self.pool.heard_recently(&channel);
-            let (answered, answer) = watch::channel(recent);
-            let sent = Arc::clone(&self.sent);
-            let outgoing = outgoing(&self.request, Arc::clone(input), answer, sent);
-            let mut client = channel.client.clone();
-            let call = client.run(Request::new(outgoing));
+            let channel = ChannelUse::new(channel);
+            let recent = attempt == 0 && self.pool.heard_recently(&channel.0);
+            let (answered, answer) = oneshot::channel();
+            let (give_back, given_back) = oneshot::channel();
+            let outgoing = OutgoingStream {
+                open: Some(request_to_wire(&self.request)),
+                answer: if recent { None } else { Some(answer) },
+                input: Some(input),
+                give_back: Some(give_back),
+                sent: Arc::clone(&self.sent),
+            };
+            let mut client = channel.0.client.clone();
             tokio::select! {
-                result = timeout(FIRST_ANSWER, call) => {
+                result = timeout(FIRST_ANSWER, client.run(Request::new(outgoing))) => {
                     if let Ok(Ok(response)) = result {
-                        self.pool.heard(&channel);
-                        let _ = answered.send(true);
+                        self.pool.heard(&channel.0);
+                        let _ = answered.send(());
                         return Ok((channel, response.into_inner()));
                     }
                 }
                 () = self.output.closed() => return Err(self.verdict("the session has gone")),
             }
-            if self.sent.load(Ordering::Acquire) {
-                break;
-            }
-            stale = Some(channel.generation);
+            channel.0.stale.store(true, Ordering::Relaxed);
+            drop(answered);
+            input = match timeout(GIVE_BACK, given_back).await {
+                Ok(Ok(input)) if !self.sent.load(Ordering::Acquire) => input,
+                _ => break,
+            };
         }
         Err(self.verdict("the broker does not answer"))
     }
@@ -288,43 +322,47 @@
     }
 }
 
-// Sends the open request at once and the session's input as soon as the peer has shown that the
-// path works: until then a failure leaves no doubt that nothing was run.
-fn outgoing(
-    request: &GrantRequest,
-    input: SharedInput,
-    mut answered: watch::Receiver<bool>,
+/// The session's side of a remote grant.
+///
+/// Sends the open request at once and the session's input as soon as the peer has shown that the
+/// path works: until then a failure leaves no doubt that nothing was run.
+struct OutgoingStream {
+    open: Option<v1::GrantRequest>,
+    /// Completes with the peer's first answer; absent if the peer was heard from recently.
+    answer: Option<oneshot::Receiver<()>>,
+    input: Option<mpsc::Receiver<LinkInput>>,
+    /// Takes the input back for another attempt when the transport drops the stream.
+    give_back: Option<oneshot::Sender<mpsc::Receiver<LinkInput>>>,
     sent: Arc<AtomicBool>,
-) -> impl Stream<Item = v1::BrokerInput> + Send + 'static {
-    let open = v1::BrokerInput { input: Some(Input::Open(request_to_wire(request))) };
-    let (sender, receiver) = mpsc::channel(4);
-    tokio::spawn(async move {
-        if sender.send(open).await.is_err() {
-            return;
+}
+
+impl Stream for OutgoingStream {
+    type Item = v1::BrokerInput;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if let Some(open) = self.open.take() {
+            return Poll::Ready(Some(v1::BrokerInput { input: Some(Input::Open(open)) }));
         }
-        tokio::select! {
-            answer = answered.wait_for(|answered| *answered) => {
-                if answer.is_err() {
-                    return;
-                }
+        if let Some(answer) = self.answer.as_mut() {
+            match Pin::new(answer).poll(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) => self.answer = None,
+                Poll::Ready(Err(_)) => return Poll::Ready(None),
             }
-            () = sender.closed() => return,
         }
-        let mut input = input.lock().await;
-        loop {
-            let message = tokio::select! {
-                biased;
-                () = sender.closed() => return,
-                message = input.recv() => message,
-            };
-            let Some(message) = message else { return };
-            if matches!(message, LinkInput::Data(_)) {
-                sent.store(true, Ordering::Release);
-            }
-            if sender.send(input_to_wire(message)).await.is_err() {
-                return;
-            }
+        let Some(input) = self.input.as_mut() else { return Poll::Ready(None) };
+        let Some(message) = ready!(input.poll_recv(context)) else { return Poll::Ready(None) };
+        if matches!(message, LinkInput::Data(_)) {
+            self.sent.store(true, Ordering::Release);
         }
-    });
-    tokio_stream::wrappers::ReceiverStream::new(receiver)
+        Poll::Ready(Some(input_to_wire(message)))
+    }
+}
+
+impl Drop for OutgoingStream {
+    fn drop(&mut self) {
+        if let (Some(give_back), Some(input)) = (self.give_back.take(), self.input.take()) {
+            let _ = give_back.send(input);
+        }
+    }
 }
