--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -6,7 +6,7 @@
         exchange::HeldGrant,
         frame::{CallerFrame, FrameCodec, split_text},
         local::LocalReply,
-        prepared::{CallerBatch, StatementStore},
+        prepared::{BatchError, CallerBatch, StatementStore},
         registry::CallerTicket,
         request::{CallerRequest, RequestSummary},
         startup::{self, CallerIdentity},
@@ -23,7 +23,7 @@
 };
 
 /// Bytes of a batch above which it is sent to the target before its Sync has come.
-const BATCH_LIMIT: usize = 1 << 20;
+pub(super) const BATCH_LIMIT: usize = 1 << 20;
 
 /// Why a session ends.
 #[derive(Debug)]
@@ -268,7 +268,7 @@
             b'P' | b'B' | b'D' | b'E' | b'C' => {
                 let cache = &mut self.worker.cache.borrow_mut();
                 let added = self.batch.add(&frame, &mut self.store, cache);
-                added.ok_or(SessionEnd::Failure(FailureKind::ProtocolViolation, "message body"))?;
+                added.map_err(BatchError::end)?;
                 Ok(())
             }
             b'S' => self.finish_batch(true).await,
--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -130,7 +130,7 @@
         let Some(mut grant) = self.grant.take() else {
             return Ok(Err(plain(FailureKind::TransactionLost)));
         };
-        if let Err(kind) = self.check_grant(&grant, &request.summary) {
+        if let Err(kind) = self.check_grant(&mut grant, &request.summary) {
             // A transaction is rolled back by dropping its grant; a pinned session keeps it.
             if self.state == TransactionState::Idle {
                 self.grant = Some(grant);
@@ -161,13 +161,15 @@
         }
     }
 
-    /// Checks a request against the sheet and the grant that it is to run on.
+    /// Checks a request against the lease, the sheet and the grant that it is to run on.
+    ///
+    /// The grant takes over the deadline of the request.
     pub(super) fn check_grant(
         &self,
-        grant: &HeldGrant,
+        grant: &mut HeldGrant,
         summary: &RequestSummary,
     ) -> Result<(), FailureKind> {
-        if summary.control && summary.closes {
+        if summary.rollback {
             return Ok(());
         }
         if !self.shared.lease.is_valid() {
@@ -177,10 +179,11 @@
             return Ok(());
         }
         let table = self.shared.routes.borrow().clone();
-        self.rule(&table, summary)?;
+        let (_, rule) = self.rule(&table, summary)?;
         if grant.access == GrantAccess::Read && !summary.read {
             return Err(FailureKind::NotAllowed);
         }
+        grant.deadline = rule.deadline.as_duration();
         Ok(())
     }
 
@@ -282,6 +285,7 @@
         match kind {
             FailureKind::TooStale | FailureKind::Leaving | FailureKind::WrongEpoch => true,
             FailureKind::Unreachable
+            | FailureKind::Overloaded
             | FailureKind::TargetRefused
             | FailureKind::ConnectionLost
             | FailureKind::PrimaryReplaced
--- a/crates/entry/src/session/prepared.rs
+++ b/crates/entry/src/session/prepared.rs
@@ -3,10 +3,12 @@
 use {
     super::{
         answer,
+        connection::SessionEnd,
         frame::{CallerFrame, split_text},
     },
     banyansill_core::{
         collections::FastMap,
+        failure::FailureKind,
         statement::{ProfileCache, StatementProfile},
     },
     bytes::{BufMut, Bytes, BytesMut},
@@ -14,9 +16,36 @@
     std::{collections::VecDeque, fmt::Write, sync::Arc},
 };
 
-/// Prepared statements that one session may keep.
+/// Prepared statements, and portals, that one session may keep.
 const STATEMENT_LIMIT: usize = 4_096;
 
+/// Bytes of the texts that one session may keep prepared.
+const TEXT_LIMIT: usize = 16 << 20;
+
+/// Parses of one session that may be unanswered.
+const IN_FLIGHT_LIMIT: usize = 65_536;
+
+/// Extended-protocol message that cannot be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchError {
+    /// The body is malformed.
+    Malformed,
+    /// The session keeps too many statements or portals.
+    TooMany,
+}
+
+impl BatchError {
+    /// Returns the failure that ends the session.
+    pub(super) const fn end(self) -> SessionEnd {
+        match self {
+            Self::Malformed => SessionEnd::Failure(FailureKind::ProtocolViolation, "message body"),
+            Self::TooMany => {
+                SessionEnd::Failure(FailureKind::Unsupported, "too many prepared statements")
+            }
+        }
+    }
+}
+
 /// Name under which statements are closed on the target.
 ///
 /// Statements are shared by all sessions of a connection, so a caller's Close must not reach its
@@ -55,6 +84,8 @@
     unnamed: Option<Arc<PreparedStatement>>,
     in_flight: VecDeque<PendingParse>,
     portals: FastMap<Vec<u8>, Arc<StatementProfile>>,
+    /// Bytes of the texts of named statements.
+    bytes: usize,
 }
 
 impl StatementStore {
@@ -62,6 +93,7 @@
     pub fn clear(&mut self) {
         self.named.clear();
         self.unnamed = None;
+        self.bytes = 0;
     }
 
     /// Forgets the portals, as at the end of a transaction.
@@ -92,12 +124,27 @@
         let Some(name) = parse.asked else { return false };
         if name.is_empty() {
             self.unnamed = Some(parse.statement);
-        } else if self.named.len() < STATEMENT_LIMIT || self.named.contains_key(&name) {
+        } else {
+            self.bytes += parse.statement.body.len();
+            self.remove_replaced(self.named.get(&name).cloned());
             self.named.insert(name, parse.statement);
         }
         true
     }
 
+    fn remove_replaced(&mut self, statement: Option<Arc<PreparedStatement>>) {
+        if let Some(statement) = statement {
+            self.bytes -= statement.body.len();
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.named.len() >= STATEMENT_LIMIT
+            || self.portals.len() >= STATEMENT_LIMIT
+            || self.bytes >= TEXT_LIMIT
+            || self.in_flight.len() >= IN_FLIGHT_LIMIT
+    }
+
     fn find(&self, name: &[u8]) -> Option<&Arc<PreparedStatement>> {
         if name.is_empty() { self.unnamed.as_ref() } else { self.named.get(name) }
     }
@@ -141,12 +188,28 @@
         self.messages == 0 && self.closes == 0
     }
 
-    /// Adds a Parse, Bind, Describe, Execute or Close; returns `None` if its body is malformed.
+    /// Adds a Parse, Bind, Describe, Execute or Close.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is malformed or the session keeps too much.
     pub fn add(
         &mut self,
         frame: &CallerFrame,
         store: &mut StatementStore,
         cache: &mut ProfileCache,
+    ) -> Result<(), BatchError> {
+        if matches!(frame.tag, b'P' | b'B') && store.is_full() {
+            return Err(BatchError::TooMany);
+        }
+        self.rewrite(frame, store, cache).ok_or(BatchError::Malformed)
+    }
+
+    fn rewrite(
+        &mut self,
+        frame: &CallerFrame,
+        store: &mut StatementStore,
+        cache: &mut ProfileCache,
     ) -> Option<()> {
         let body = frame.body();
         self.steps.push((frame.tag, body.first().copied().unwrap_or(0)));
@@ -169,13 +232,9 @@
                 let (name, rest) = split_text(rest)?;
                 let (target, profile) = self.refer(name, store);
                 match profile {
-                    Some(profile) if store.portals.len() < STATEMENT_LIMIT => {
-                        store.portals.insert(portal.to_vec(), profile);
-                    }
-                    _ => {
-                        store.portals.remove(portal);
-                    }
-                }
+                    Some(profile) => store.portals.insert(portal.to_vec(), profile),
+                    None => store.portals.remove(portal),
+                };
                 answer::message(&mut self.output, b'B', |buffer| {
                     buffer.put_slice(portal);
                     buffer.put_u8(0);
@@ -195,7 +254,8 @@
                     if name.is_empty() {
                         store.unnamed = None;
                     } else {
-                        store.named.remove(name);
+                        let statement = store.named.remove(name);
+                        store.remove_replaced(statement);
                     }
                     CLOSED_NAME.as_bytes().to_vec()
                 };
--- a/crates/entry/src/session/request.rs
+++ b/crates/entry/src/session/request.rs
@@ -37,6 +37,8 @@
     pub(super) control: bool,
     /// Is a commit or a rollback and nothing else.
     pub(super) closes: bool,
+    /// Is a rollback and nothing else, which needs nobody's permission.
+    pub(super) rollback: bool,
 }
 
 impl RequestSummary {
@@ -60,6 +62,7 @@
             control: closes
                 || matches!(action, StatementAction::Savepoint | StatementAction::Begin { .. }),
             closes,
+            rollback: *action == StatementAction::Rollback,
         }
     }
 
@@ -76,6 +79,7 @@
                 ends: batch.unbound,
                 control: !batch.unbound,
                 closes: false,
+                rollback: false,
             };
         };
         let mut summary = Self::of(first);
@@ -91,6 +95,7 @@
             summary.ends |= other.ends;
             summary.control &= other.control;
             summary.closes &= other.closes;
+            summary.rollback &= other.rollback;
         }
         summary.read &= !batch.unbound;
         summary.ends |= batch.unbound;
--- a/crates/entry/src/session/stream.rs
+++ b/crates/entry/src/session/stream.rs
@@ -6,10 +6,11 @@
 use {
     super::{
         answer,
-        connection::{CallerSession, SessionEnd},
+        connection::{BATCH_LIMIT, CallerSession, SessionEnd},
         exchange::{ExchangeEnd, HeldGrant, plain},
         filter,
         frame::CallerFrame,
+        prepared::BatchError,
         request::{CallerRequest, RequestSummary},
     },
     crate::link::{GrantRouter, LinkFailure, LinkInput, LinkOutput, TransactionStatus},
@@ -230,8 +231,11 @@
             b'P' | b'B' | b'D' | b'E' | b'C' if !state.copying => {
                 let cache = &mut self.worker.cache.borrow_mut();
                 let added = self.batch.add(&frame, &mut self.store, cache);
-                added.ok_or(SessionEnd::Failure(FailureKind::ProtocolViolation, "message body"))?;
-                return Ok(None);
+                added.map_err(BatchError::end)?;
+                if self.batch.output.len() <= BATCH_LIMIT {
+                    return Ok(None);
+                }
+                answer::bare(&mut self.batch.output, b'H');
             }
             b'S' => {
                 state.synced = true;
--- a/crates/entry/tests/session_extended.rs
+++ b/crates/entry/tests/session_extended.rs
@@ -284,3 +284,23 @@
     let rows = caller.until_ready().await.len();
     assert_eq!(rows, 50_003);
 }
+
+// Guards against a caller that prepares statements without end until the entry has no memory left.
+#[tokio::test]
+async fn prepared_statements_are_bounded() {
+    let bench = Bench::open().await;
+    let mut caller = bench.raw().await;
+    let wide = "x".repeat(1 << 20);
+    let mut prepared = 0;
+    loop {
+        let text = format!("SELECT '{wide}', {prepared}");
+        caller.write(&Batch::default().parse(&format!("s{prepared}"), &text).sync().0).await;
+        if caller.next().await.expect("an answer").0 != '1' {
+            break;
+        }
+        assert_eq!(caller.next().await.expect("an answer").0, 'Z');
+        prepared += 1;
+        assert!(prepared <= 17, "{prepared} MiB are kept");
+    }
+    assert!(caller.next().await.is_none());
+}
--- a/crates/entry/tests/session_transactions.rs
+++ b/crates/entry/tests/session_transactions.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use {
-    banyansill_core::failure::FailureKind,
-    banyansill_entry::link::GrantAccess,
+    banyansill_core::{failure::FailureKind, time::Micros},
+    banyansill_entry::{lease::NodeLease, link::GrantAccess},
+    banyansill_runtime::clock::MonotonicClock,
     support::{Act, Bench, Seen, texts},
 };
 
@@ -184,3 +185,22 @@
     assert_eq!(tag, 'E');
     assert!(caller.next().await.is_none());
 }
+
+// Guards against a commit that an entry sends on after its lease has run out.
+#[tokio::test]
+async fn commit_needs_the_lease() {
+    let bench = Bench::open().await;
+    let lease = NodeLease::new(MonotonicClock::start());
+    lease.extend(Micros::from_secs(2));
+    let handle = support::bind_with_lease(&bench, lease.clone()).await;
+    let mut caller = support::RawCaller::open(handle.address()).await;
+    caller.start().await;
+    caller.query("BEGIN").await;
+    assert_eq!(caller.query("INSERT INTO t VALUES (1)").await.last().unwrap(), "ZT");
+    tokio::time::sleep(lease.remaining().as_duration()).await;
+    let refused = caller.query("COMMIT").await;
+    assert!(refused[0].contains("no-lease") && refused[1] == "ZE", "{refused:?}");
+    bench.router.wait_for(|grants| grants[0].seen.last() == Some(&Seen::Gone)).await;
+    assert_eq!(texts(&bench.router.grants()[0]), ["BEGIN", "INSERT INTO t VALUES (1)"]);
+    assert_eq!(caller.query("ROLLBACK").await, ["CROLLBACK", "ZI"]);
+}
