test: prove session consistency with real processes

Cause: a replica's replayed position was used for acknowledgements, so an order with ack = replica waited for the whole replication lag; and the proofs need a cluster of real processes. Change: group_status() has the position of the last entry received; acknowledgements and the choice at a promotion use it. Cluster harness with a proxy before each target. Tests for read-your-writes, reconnecting to another entry, older data on replicas, and confirmation by receipt.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -121,6 +121,8 @@
     pub term: LogTerm,
     /// Commit position of a primary, replayed position of a replica.
     pub position: LogPosition,
+    /// Position of the last entry in the target's log, replayed or not; a promotion keeps it.
+    pub received: LogPosition,
     /// Age of the replayed state when the probe was sent; zero on a primary.
     pub age: Micros,
     /// When the probe was sent.
--- a/crates/core/tests/broker_rules.rs
+++ b/crates/core/tests/broker_rules.rs
@@ -102,6 +102,7 @@
         role,
         term: LogTerm(term),
         position: at(4, 130),
+        received: at(4, 130),
         age: Micros::from_millis(200),
         asked: Micros::from_millis(1_000),
     }
--- a/crates/entry/src/broker/lifecycle.rs
+++ b/crates/entry/src/broker/lifecycle.rs
@@ -105,7 +105,7 @@
             reachable: probes.reachable(),
             unreachable_ms: u32::try_from(silent).unwrap_or(u32::MAX),
             role: role.into(),
-            position: status.map(|status| status.position.into()),
+            position: status.map(|status| status.received.into()),
             fenced_term,
             open_connections: self.pooled.open() + self.probing.open(),
             term: status.map_or(0, |status| status.term.0),
--- a/crates/entry/src/broker/position.rs
+++ b/crates/entry/src/broker/position.rs
@@ -20,7 +20,10 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
 impl TargetShared {
-    /// Waits until the target, as a replica, has reached `position`; returns whether it has.
+    /// Waits until the target, as a replica, has received `position`; returns whether it has.
+    ///
+    /// Receipt is enough for an acknowledgement, since a promotion keeps what was received. Waiting
+    /// for replay would hold each commit for the whole replication lag.
     pub(super) async fn await_position(&self, position: LogPosition, span: Micros) -> bool {
         let until = Instant::now() + span.as_duration();
         let mut status = self.status.subscribe();
@@ -32,7 +35,7 @@
             }
             if let Some(known) = known
                 && known.role == TargetRole::Replica
-                && compare_floor(&gate.route.history, known.position, position)
+                && compare_floor(&gate.route.history, known.received, position)
                     == FloorVerdict::Covered
             {
                 return true;
--- a/crates/entry/src/broker/probe.rs
+++ b/crates/entry/src/broker/probe.rs
@@ -206,6 +206,7 @@
     };
     let position: LogPosition =
         rows.first("position").and_then(|text| text.parse().ok()).unwrap_or_default();
+    let received = rows.first("received").and_then(|text| text.parse().ok()).unwrap_or(position);
     let term = rows.first("term").and_then(|text| text.parse().ok()).unwrap_or_default();
     let replayed: u64 =
         rows.first("replayed_at_ms").and_then(|text| text.parse().ok()).unwrap_or_default();
@@ -213,5 +214,5 @@
         TargetRole::Primary => Micros::ZERO,
         TargetRole::Replica => Micros(wall.saturating_sub(replayed).saturating_mul(1_000)),
     };
-    Ok(TargetStatus { role, term: LogTerm(term), position, age, asked })
+    Ok(TargetStatus { role, term: LogTerm(term), position, received, age, asked })
 }
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -86,18 +86,21 @@
 }
 
 fn body(shared: &SharedServer) -> Vec<u8> {
-    let settings = &shared.settings;
+    let (settings, addresses) = (&shared.settings, &shared.addresses);
     let state = shared.read();
     let announcement = ServerAnnouncement {
         database: &settings.database,
         server: &settings.server,
-        address: shared.addresses.callers.to_string(),
-        replication_address: shared.addresses.replication.to_string(),
+        address: settings.announce_address.unwrap_or(addresses.callers).to_string(),
+        replication_address: settings
+            .announce_replication_address
+            .unwrap_or(addresses.replication)
+            .to_string(),
         region: &settings.region,
         zone: &settings.zone,
         role: state.role.name(),
         term: state.term,
-        position: state.position().to_string(),
+        position: state.received().to_string(),
         slots: settings.slots,
         connections: settings.connections,
         leaving: *shared.leaving.borrow(),
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -161,6 +161,11 @@
         self.position_at(self.applied)
     }
 
+    /// Returns the position of the last entry received, which a promotion would keep.
+    pub fn received(&self) -> LogPosition {
+        self.position_at(self.log_end())
+    }
+
     /// Returns the terms and the end of the log, including entries that are not applied yet.
     pub fn history(&self) -> LogHistory {
         LogHistory { spans: self.spans.clone(), end: self.log_end() }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -35,6 +35,10 @@
     pub listen: SocketAddr,
     /// Address for the replication of other servers; port 0 takes a free one.
     pub replication_listen: SocketAddr,
+    /// Address that is announced for PostgreSQL connections; the listener's own unless given.
+    pub announce_address: Option<SocketAddr>,
+    /// Address that is announced for replication; the listener's own unless given.
+    pub announce_replication_address: Option<SocketAddr>,
     /// Region of the server.
     pub region: SharedName,
     /// Availability zone of the server.
@@ -73,6 +77,8 @@
             server: SharedName::from(server),
             listen: any,
             replication_listen: any,
+            announce_address: None,
+            announce_replication_address: None,
             region: SharedName::from("local"),
             zone: SharedName::from("local"),
             role,
@@ -101,6 +107,9 @@
         if let Some(address) = reader.parsed("replication_listen") {
             settings.replication_listen = address;
         }
+        settings.announce_address = reader.optional_parsed("announce_address");
+        settings.announce_replication_address =
+            reader.optional_parsed("announce_replication_address");
         settings.region = SharedName::from(reader.string("region"));
         settings.zone = SharedName::from(reader.string("zone"));
         let role = reader.optional_string("role");
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -235,6 +235,7 @@
             Value::text(state.role.name()),
             whole(state.term),
             Value::text(&state.position().to_string()),
+            Value::text(&state.received().to_string()),
             whole(replayed),
             whole(state.lag_ms),
             whole(max_running),
--- a/crates/standin/src/sql/query.rs
+++ b/crates/standin/src/sql/query.rs
@@ -28,10 +28,11 @@
 };
 
 /// Columns of `group_status()`.
-pub const STATUS_COLUMNS: [(&str, ColumnType); 7] = [
+pub const STATUS_COLUMNS: [(&str, ColumnType); 8] = [
     ("role", ColumnType::Text),
     ("term", ColumnType::Int8),
     ("position", ColumnType::Text),
+    ("received", ColumnType::Text),
     ("replayed_at_ms", ColumnType::Int8),
     ("lag_ms", ColumnType::Int8),
     ("max_running", ColumnType::Int8),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,5 +1,6 @@
 //! Tools of the integration tests: processes, a fault-injecting TCP proxy and a history checker.
 
+pub mod cluster;
 pub mod history;
 pub mod process;
 pub mod proxy;
