feat(standin): charge short costs exactly and send large batches in parts

Cause: a statement cost below a millisecond was rounded up by the timer, and a frame could hold 256 transactions of any size. Change: waiting time beyond the cost is credited to later statements; a replication frame ends after about 1,000 changes; scans read rows in batches. Tests for startup negotiation, SIGTERM and replicas under concurrent writes.

--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -171,10 +171,23 @@
         self.base.offset + self.log.len() as u64
     }
 
-    /// Returns up to `limit` entries after `offset`, or nothing if they are not kept any more.
+    /// Returns entries after `offset` with about `limit` changes, or nothing if they are not kept
+    /// any more.
     pub fn entries_after(&self, offset: u64, limit: usize) -> Option<Vec<Arc<LogEntry>>> {
         let start = usize::try_from(offset.checked_sub(self.base.offset)?).ok()?;
-        Some(self.log.iter().skip(start).take(limit).cloned().collect())
+        let mut entries = Vec::new();
+        let mut changes = 0;
+        for entry in self.log.iter().skip(start) {
+            if changes >= limit {
+                break;
+            }
+            changes += match &entry.body {
+                EntryBody::TermStart { .. } => 1,
+                EntryBody::Commit(list) => list.len(),
+            };
+            entries.push(entry.clone());
+        }
+        Some(entries)
     }
 
     /// Returns the whole state.
--- a/crates/standin/src/replication.rs
+++ b/crates/standin/src/replication.rs
@@ -17,8 +17,8 @@
     },
 };
 
-/// Entries that are sent or received at a time.
-const BATCH_ENTRIES: usize = 256;
+/// Changes after which a frame ends; a transaction is never split.
+const BATCH_CHANGES: usize = 1_000;
 
 /// Interval of the marks that tell an idle replica how fresh it is.
 const MARK_INTERVAL: Duration = Duration::from_millis(50);
@@ -29,7 +29,7 @@
 /// Pause before a replica connects again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Largest frame; a transaction with more changes cannot be replicated.
+/// Largest frame; a larger transaction or image cannot be replicated.
 const FRAME_LIMIT: usize = 256 * 1024 * 1024;
 
 /// First message of a replica.
@@ -106,7 +106,7 @@
             if state.epoch != epoch {
                 return Ok(());
             }
-            let Some(entries) = state.entries_after(sent, BATCH_ENTRIES) else {
+            let Some(entries) = state.entries_after(sent, BATCH_CHANGES) else {
                 return Err(io::Error::other("the entries are not kept any more"));
             };
             (entries, state.log_end())
@@ -303,6 +303,10 @@
     T: Serialize,
 {
     let body = serde_json::to_vec(message)?;
+    if body.len() > FRAME_LIMIT {
+        log::warn!("a replication message of {} bytes cannot be sent", body.len());
+        return Err(io::Error::other("frame is too long"));
+    }
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut frame = BytesMut::with_capacity(body.len() + 4);
     frame.put_u32(length);
--- a/crates/standin/src/session/mod.rs
+++ b/crates/standin/src/session/mod.rs
@@ -95,7 +95,7 @@
     reported_variables: Vec<(&'static str, String)>,
     skip_to_sync: bool,
     pass: Option<StatementPass>,
-    owed_us: u64,
+    owed_us: i64,
 }
 
 impl Drop for CallerSession {
@@ -280,14 +280,17 @@
     /// Waits for the extra time of a statement.
     async fn charge(&mut self) -> Result<(), SqlError> {
         let cost = &self.shared.statement_cost_us;
-        self.owed_us += cost.load(std::sync::atomic::Ordering::Relaxed);
-        // The timer counts whole milliseconds, so shorter costs are added up.
-        if self.owed_us < 1_000 {
+        let cost = cost.load(std::sync::atomic::Ordering::Relaxed);
+        self.owed_us = self.owed_us.saturating_add(i64::try_from(cost).unwrap_or(i64::MAX));
+        // The timer counts whole milliseconds, so shorter costs are added up; what it waits too
+        // long is credited to later statements.
+        let owed = u64::try_from(self.owed_us).unwrap_or(0);
+        if owed < 1_000 {
             return Ok(());
         }
         let start = std::time::Instant::now();
-        self.sleep(Duration::from_micros(self.owed_us)).await?;
-        let waited = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.sleep(Duration::from_micros(owed)).await?;
+        let waited = i64::try_from(start.elapsed().as_micros()).unwrap_or(i64::MAX);
         self.owed_us = self.owed_us.saturating_sub(waited);
         Ok(())
     }
--- a/crates/standin/src/sql/cursor.rs
+++ b/crates/standin/src/sql/cursor.rs
@@ -53,6 +53,7 @@
     offset: u64,
     after: Option<u64>,
     found: Option<VecDeque<u64>>,
+    batch: VecDeque<(u64, SharedRow)>,
 }
 
 impl RowScan {
@@ -74,6 +75,7 @@
             offset: transaction.snapshot.position.offset,
             after: None,
             found: None,
+            batch: VecDeque::new(),
         };
         let Some(lookup) = &filter.lookup else { return Ok(scan) };
         let mut values = Vec::with_capacity(lookup.key.len());
@@ -122,6 +124,14 @@
             }
             return Ok(None);
         }
+        if overlay.is_none_or(RowOverlay::is_empty) {
+            if self.batch.is_empty() {
+                let Some(rows) = rows else { return Ok(None) };
+                self.batch = rows.visible_batch(self.after, self.offset, STEP_ROWS);
+                self.after = self.batch.back().map(|(id, _)| *id).or(self.after);
+            }
+            return Ok(self.batch.pop_front());
+        }
         loop {
             let committed = rows.and_then(|rows| rows.next_visible(self.after, self.offset));
             let start = self.after.map_or(Unbounded, Excluded);
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -5,7 +5,7 @@
     banyansill_core::collections::FastMap,
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         ops::Bound::{Excluded, Unbounded},
         sync::Arc,
     },
@@ -114,6 +114,25 @@
         None
     }
 
+    /// Returns up to `limit` rows after `after` that a snapshot at `offset` sees.
+    pub fn visible_batch(
+        &self,
+        after: Option<u64>,
+        offset: u64,
+        limit: usize,
+    ) -> VecDeque<(u64, SharedRow)> {
+        let start = after.map_or(Unbounded, Excluded);
+        let mut batch = VecDeque::new();
+        for (id, chain) in self.chains.range((start, Unbounded)) {
+            let Some(row) = visible(chain, offset) else { continue };
+            batch.push_back((*id, row.clone()));
+            if batch.len() == limit {
+                break;
+            }
+        }
+        batch
+    }
+
     /// Returns the numbers of rows of which some version has the key.
     pub fn candidates(&self, index: usize, key: &IndexKey) -> &[u64] {
         self.indexes[index].get(key).map_or(&[], Vec::as_slice)
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -118,6 +118,33 @@
     stop.await.unwrap();
 }
 
+/// Guards against a process that ends on SIGTERM without telling control.
+#[tokio::test]
+async fn process_announces_its_end_on_sigterm() {
+    let control = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.json");
+    let address = control.local_addr().unwrap().to_string();
+    let text = GOOD
+        .replace("127.0.0.1:7001", &address)
+        .replace("\"lag_ms\"", "\"leave_ms\": 300, \"lag_ms\"");
+    std::fs::write(&path, text).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_banyansill-standin"))
+        .args(["--config", path.to_str().unwrap()])
+        .spawn()
+        .unwrap();
+    let first = announcement(&control).await;
+    assert_eq!(
+        (first["role"].as_str(), first["leaving"].as_bool()),
+        (Some("replica"), Some(false))
+    );
+    let signal = format!("kill -TERM {}", process.id());
+    assert!(Command::new("sh").args(["-c", &signal]).status().unwrap().success());
+    while announcement(&control).await["leaving"] != true {}
+    let status = tokio::task::spawn_blocking(move || process.wait()).await.unwrap();
+    assert!(status.unwrap().success());
+}
+
 async fn announcement(control: &TcpListener) -> serde_json::Value {
     let (mut stream, _) = control.accept().await.expect("an announcement");
     let mut request = Vec::new();
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -7,7 +7,7 @@
     postgres_protocol::message::frontend,
     std::time::{Duration, Instant},
     support::{
-        code, connect, failure, primary,
+        code, connect, eventually, failure, primary,
         raw::{RawClient, parse_and_bind},
         resident_bytes, rows,
     },
@@ -256,3 +256,33 @@
     assert_eq!(failure(&plain, "BEGIN; DISCARD ALL").await, "25001");
     server.kill().await;
 }
+
+/// Guards against connections that cannot start because a driver first asks for more than there is.
+#[tokio::test]
+async fn startup_negotiates_what_is_supported() {
+    let server = primary().await;
+    let mut output = BytesMut::new();
+    frontend::ssl_request(&mut output);
+    assert_eq!(RawClient::exchange(&server, &output, 1).await, b"N");
+    let gss = [0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x30];
+    assert_eq!(RawClient::exchange(&server, &gss, 1).await, b"N");
+    let startup = |database, minor| {
+        let mut output = BytesMut::new();
+        let parameters = [("user", "caller"), ("database", database)];
+        frontend::startup_message(parameters, &mut output).unwrap();
+        output[7] = minor;
+        output
+    };
+    let answer = RawClient::exchange(&server, &startup("hamper", 0), 9).await;
+    assert_eq!(answer[..9], [b'R', 0, 0, 0, 8, 0, 0, 0, 0]);
+    let answer = RawClient::exchange(&server, &startup("hamper", 2), 9).await;
+    assert_eq!(answer[..9], [b'v', 0, 0, 0, 12, 0, 0, 0, 0], "protocol 3.2 is answered with 3.0");
+    let refused = RawClient::exchange(&server, &startup("other", 0), usize::MAX).await;
+    assert!(String::from_utf8_lossy(&refused).contains("C3D000"));
+    let mut unknown = startup("hamper", 0);
+    unknown.extend_from_slice(&[b'?', 0, 0, 0, 4]);
+    let closed = RawClient::exchange(&server, &unknown, usize::MAX).await;
+    assert!(String::from_utf8_lossy(&closed).contains("C08P01"));
+    eventually("closed", || async { server.open_connections() == 0 }).await;
+    server.kill().await;
+}
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -201,3 +201,53 @@
     second.kill().await;
     first.kill().await;
 }
+
+/// Guards against replicas that drift from the primary under concurrent transactions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn replicas_equal_the_primary_after_concurrent_writes() {
+    let mut options = settings(StartRole::Primary);
+    options.log_entries = 50;
+    let first = spawn(options).await.unwrap();
+    let second = replica_of(&first).await;
+    let client = connect(&first).await;
+    run(&client, "CREATE TABLE t (id serial PRIMARY KEY, tag int UNIQUE, n int DEFAULT 0)").await;
+    run(&client, "INSERT INTO t (tag) SELECT g FROM generate_series(1, 20) g").await;
+    let mut tasks = Vec::new();
+    for worker in 0..6_i32 {
+        let client = connect(&first).await;
+        tasks.push(tokio::spawn(async move {
+            for step in 0..60_i32 {
+                let tag = (worker * 7 + step * 3) % 25;
+                let text = match step % 4 {
+                    0 => format!("UPDATE t SET n = n + 1 WHERE tag = {tag}"),
+                    1 => format!("DELETE FROM t WHERE tag = {tag}"),
+                    2 => format!("INSERT INTO t (tag) VALUES ({tag}) ON CONFLICT DO NOTHING"),
+                    _ => format!(
+                        "BEGIN; UPDATE t SET n = n + 10 WHERE tag = {tag}; \
+                         UPDATE t SET n = n - 10 WHERE tag = {}; COMMIT",
+                        (tag + 5) % 25
+                    ),
+                };
+                // Conflicts and deadlocks are allowed; the statement then has no effect.
+                if let Err(error) = client.batch_execute(&text).await {
+                    assert!(["40001", "40P01"].contains(&support::code(&error)), "{error:?}");
+                    client.batch_execute("ROLLBACK").await.unwrap();
+                }
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let third = replica_of(&first).await;
+    let all = "SELECT id, tag, n FROM t ORDER BY id";
+    let expected = rows(&client, all).await;
+    assert!(expected.len() > 5, "{expected:?}");
+    for replica in [&second, &third] {
+        eventually("caught up", || async { replica.position() == first.position() }).await;
+        assert_eq!(rows(&connect(replica).await, all).await, expected);
+    }
+    for server in [first, second, third] {
+        server.kill().await;
+    }
+}
--- a/crates/standin/tests/support/raw.rs
+++ b/crates/standin/tests/support/raw.rs
@@ -32,6 +32,16 @@
         client
     }
 
+    /// Sends raw bytes on a new connection and returns what the server sends until `count` bytes
+    /// have come or it closes the connection.
+    pub async fn exchange(server: &ServerHandle, output: &[u8], count: usize) -> Vec<u8> {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream.write_all(output).await.unwrap();
+        let mut input = Vec::new();
+        while input.len() < count && stream.read_buf(&mut input).await.unwrap() > 0 {}
+        input
+    }
+
     pub async fn send(&mut self, output: BytesMut) {
         self.stream.write_all(&output).await.unwrap();
     }
