fix(standin): lock only the result of FOR UPDATE

Change: the query runs first and the rows of its result are locked, under one lock of the store. Conclusion: rows beyond the result stay free.

--- a/crates/standin/src/session/execute.rs
+++ b/crates/standin/src/session/execute.rs
@@ -13,7 +13,7 @@
             admin,
             cursor::{QueryCursor, StatementInput},
             evaluate::SessionFacts,
-            plan::{AdminCall, QueryPlan, QuerySource, StatementPlan},
+            plan::{AdminCall, QuerySource, StatementPlan},
             write,
         },
         value::{SharedRow, Value},
@@ -164,9 +164,9 @@
         let data = &mut state.data;
         let progress = match plan {
             StatementPlan::Query(query) => {
-                write::lock_query(query, &input, data, transaction, sleep)?;
-                let (rows, count) = locked_result(query, input, data, transaction, sleep)?;
-                PortalProgress::Rows(rows, format!("SELECT {count}"))
+                let rows = write::select_locked(query, input, data, transaction, sleep)?;
+                let tag = format!("SELECT {}", rows.len());
+                PortalProgress::Rows(rows.into(), tag)
             }
             StatementPlan::Insert(insert) => {
                 let (rows, count) = write::insert(insert, &input, data, transaction, sleep)?;
@@ -331,27 +331,6 @@
     }
 }
 
-/// Runs a query to its end under the lock that its rows were locked in.
-fn locked_result(
-    plan: &Arc<QueryPlan>,
-    input: StatementInput,
-    data: &crate::store::DataStore,
-    transaction: &crate::store::OpenTransaction,
-    sleep: &Cell<f64>,
-) -> Result<(VecDeque<Vec<Value>>, usize), SqlError> {
-    let status = Arc::from([]);
-    let mut cursor = QueryCursor::open(plan.clone(), input, status, data, transaction)?;
-    let mut rows = VecDeque::new();
-    while !cursor.is_done() {
-        cursor.step(data, sleep)?;
-        while let Some(row) = cursor.take() {
-            rows.push_back(row);
-        }
-    }
-    let count = rows.len();
-    Ok((rows, count))
-}
-
 fn is_exhausted(progress: &PortalProgress) -> bool {
     match progress {
         PortalProgress::Rows(rows, _) => rows.is_empty(),
--- a/crates/standin/src/sql/cursor.rs
+++ b/crates/standin/src/sql/cursor.rs
@@ -164,6 +164,15 @@
     results: Vec<Value>,
 }
 
+/// Row of a result, with the number of the table row that it was computed from.
+pub type FoundRow = (Option<u64>, Vec<Value>);
+
+#[derive(Debug)]
+struct SortedRow {
+    keys: Vec<Value>,
+    found: FoundRow,
+}
+
 /// Query in execution.
 #[derive(Debug)]
 pub struct QueryCursor {
@@ -171,8 +180,8 @@
     input: StatementInput,
     source: CursorSource,
     groups: BTreeMap<IndexKey, RowGroup>,
-    sorted: Vec<(Vec<Value>, Vec<Value>)>,
-    ready: VecDeque<Vec<Value>>,
+    sorted: Vec<SortedRow>,
+    ready: VecDeque<FoundRow>,
     skip: u64,
     remaining: Option<u64>,
     ended: bool,
@@ -233,6 +242,11 @@
 
     /// Takes the next finished row.
     pub fn take(&mut self) -> Option<Vec<Value>> {
+        self.ready.pop_front().map(|(_, row)| row)
+    }
+
+    /// Takes the next finished row with the number of its table row.
+    pub fn take_found(&mut self) -> Option<FoundRow> {
         self.ready.pop_front()
     }
 
@@ -259,7 +273,7 @@
                 self.ended = true;
                 return Ok(());
             }
-            let Some(row) = self.pull(data)? else {
+            let Some((id, row)) = self.pull(data)? else {
                 return self.finish(&plan, &input, sleep);
             };
             if !holds(plan.filter.condition.as_ref(), &row, &context)? {
@@ -269,17 +283,17 @@
                 self.accumulate(&plan, &row, &context)?;
                 continue;
             }
-            bytes += self.produce(&plan, &row, &context)?;
+            bytes += self.produce(&plan, id, &row, &context)?;
         }
         Ok(())
     }
 
-    fn pull(&mut self, data: &DataStore) -> Result<Option<SharedRow>, SqlError> {
+    fn pull(&mut self, data: &DataStore) -> Result<Option<(Option<u64>, SharedRow)>, SqlError> {
         match &mut self.source {
             CursorSource::Ended => Ok(None),
-            CursorSource::Rows(rows) => Ok(rows.pop_front()),
+            CursorSource::Rows(rows) => Ok(rows.pop_front().map(|row| (None, row))),
             CursorSource::Scan(scan, overlay) => {
-                Ok(scan.next(data, Some(overlay))?.map(|(_, row)| row))
+                Ok(scan.next(data, Some(overlay))?.map(|(id, row)| (Some(id), row)))
             }
             CursorSource::Series(next, last) => {
                 if *next > *last {
@@ -290,7 +304,7 @@
                     Some(following) => *next = following,
                     None => self.source = CursorSource::Ended,
                 }
-                Ok(Some(row))
+                Ok(Some((None, row)))
             }
         }
     }
@@ -298,6 +312,7 @@
     fn produce(
         &mut self,
         plan: &QueryPlan,
+        id: Option<u64>,
         row: &[Value],
         context: &RowContext<'_>,
     ) -> Result<usize, SqlError> {
@@ -323,7 +338,7 @@
                     SortValue::Expression(expression) => evaluate(expression, row, context)?,
                 });
             }
-            self.sorted.push((keys, output));
+            self.sorted.push(SortedRow { keys, found: (id, output) });
             return Ok(bytes);
         }
         if let Some(remaining) = &mut self.remaining {
@@ -332,7 +347,7 @@
             }
             *remaining -= 1;
         }
-        self.ready.push_back(output);
+        self.ready.push_back((id, output));
         Ok(bytes)
     }
 
@@ -376,15 +391,15 @@
     ) -> Result<(), SqlError> {
         for group in std::mem::take(&mut self.groups).into_values() {
             let context = RowContext { aggregates: &group.results, ..input.context(sleep) };
-            self.produce(plan, &group.first, &context)?;
+            self.produce(plan, None, &group.first, &context)?;
         }
         let mut sorted = std::mem::take(&mut self.sorted);
-        sorted.sort_by(|(left, _), (right, _)| sort_order(&plan.order, left, right));
+        sorted.sort_by(|left, right| sort_order(&plan.order, &left.keys, &right.keys));
         let skip = usize::try_from(self.skip).unwrap_or(usize::MAX);
         let limit =
             self.remaining.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
         if !plan.order.is_empty() {
-            self.ready.extend(sorted.into_iter().skip(skip).take(limit).map(|(_, row)| row));
+            self.ready.extend(sorted.into_iter().skip(skip).take(limit).map(|row| row.found));
         }
         self.ended = true;
         Ok(())
--- a/crates/standin/src/sql/write.rs
+++ b/crates/standin/src/sql/write.rs
@@ -395,23 +395,32 @@
     Ok(result)
 }
 
-/// Locks the rows of `SELECT ... FOR UPDATE`.
-///
-/// Every row of the filter is locked, also beyond `LIMIT`.
+/// Runs `SELECT ... FOR UPDATE` and locks the rows of its result.
 ///
 /// # Errors
 ///
 /// As [`change`].
-pub fn lock_query(
-    plan: &QueryPlan,
-    input: &StatementInput,
+pub fn select_locked(
+    plan: &Arc<QueryPlan>,
+    input: StatementInput,
     data: &mut DataStore,
-    transaction: &mut OpenTransaction,
+    transaction: &OpenTransaction,
     sleep: &Cell<f64>,
-) -> Result<(), StatementHalt> {
-    let QuerySource::Table(schema) = &plan.source else { return Ok(()) };
-    locked_rows(schema, &plan.filter, data, transaction, &input.context(sleep))?;
-    Ok(())
+) -> Result<Vec<Vec<Value>>, StatementHalt> {
+    let QuerySource::Table(schema) = &plan.source else { return Ok(Vec::new()) };
+    let status = SharedRow::from([]);
+    let mut cursor = QueryCursor::open(plan.clone(), input, status, data, transaction)?;
+    let mut rows = Vec::new();
+    while !cursor.is_done() {
+        cursor.step(data, sleep)?;
+        while let Some((id, row)) = cursor.take_found() {
+            if let Some(id) = id {
+                lock_row(schema, id, data, transaction)?;
+            }
+            rows.push(row);
+        }
+    }
+    Ok(rows)
 }
 
 fn locked_rows(
@@ -430,15 +439,25 @@
         }
     }
     for (id, _) in &rows {
-        data.locks.acquire(transaction.id, LockName::Row(schema.id, *id))?;
-        let latest = data.tables.get(&schema.id).map_or(0, |rows| rows.latest_offset(*id));
-        if latest > transaction.snapshot.position.offset {
-            return Err(StatementHalt::Stale);
-        }
+        lock_row(schema, *id, data, transaction)?;
     }
     Ok(rows)
 }
 
+fn lock_row(
+    schema: &TableSchema,
+    id: u64,
+    data: &mut DataStore,
+    transaction: &OpenTransaction,
+) -> Result<(), StatementHalt> {
+    data.locks.acquire(transaction.id, LockName::Row(schema.id, id))?;
+    let latest = data.tables.get(&schema.id).map_or(0, |rows| rows.latest_offset(id));
+    if latest > transaction.snapshot.position.offset {
+        return Err(StatementHalt::Stale);
+    }
+    Ok(())
+}
+
 fn checked_row(schema: &TableSchema, row: Vec<Value>) -> Result<SharedRow, SqlError> {
     let mut checked = Vec::with_capacity(row.len());
     for (value, column) in row.into_iter().zip(&schema.columns) {
--- a/crates/standin/tests/transactions.rs
+++ b/crates/standin/tests/transactions.rs
@@ -186,3 +186,23 @@
     first.batch_execute("RESET ALL; DELETE FROM stock").await.unwrap();
     server.kill().await;
 }
+
+/// Guards against `FOR UPDATE` that locks rows beyond its result, or does not lock its result.
+#[tokio::test]
+async fn for_update_locks_its_result_only() {
+    let server = primary().await;
+    let (first, second) = stock(&server).await;
+    let text = "BEGIN; SELECT id FROM stock ORDER BY id DESC LIMIT 1 FOR UPDATE";
+    assert_eq!(rows(&first, text).await, ["2"]);
+    let free = second.batch_execute("UPDATE stock SET count = 0 WHERE id = 1");
+    tokio::time::timeout(Duration::from_secs(2), free).await.unwrap().unwrap();
+    let held = second.batch_execute("UPDATE stock SET count = count + 1 WHERE id = 2");
+    let finish = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        first.batch_execute("UPDATE stock SET count = 50 WHERE id = 2; COMMIT").await.unwrap();
+    };
+    let (held, ()) = tokio::join!(held, finish);
+    held.unwrap();
+    assert_eq!(rows(&second, "SELECT count FROM stock ORDER BY id").await, ["0", "51"]);
+    server.kill().await;
+}
