fix(standin): refuse expressions that would use up the stack

Cause: a chain of 300 operators overflowed the stack of a debug build and ended the process; abs of the smallest integer was answered with 0; an insert bound before its table was dropped was lost. Change: nesting is limited to 150 levels (54001), results of functions are checked against their type (22003), an insert checks that its table still exists (42P01). Conclusion: these statements now fail with an SQLSTATE.

--- a/crates/standin/src/sql/admin.rs
+++ b/crates/standin/src/sql/admin.rs
@@ -39,7 +39,7 @@
     }
     let arguments = plain_arguments(function)?;
     let scope = ColumnScope::default();
-    let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+    let mut binder = ExpressionBinder::new(&scope, parameters);
     let call = match (name.as_str(), arguments.as_slice()) {
         ("group_promote", [Some(term)]) => {
             AdminCall::Promote(binder.bind_as(term, ColumnType::Int8, "term")?)
--- a/crates/standin/src/sql/bind.rs
+++ b/crates/standin/src/sql/bind.rs
@@ -24,6 +24,10 @@
 /// Most parameters of one statement, as in the protocol.
 const PARAMETER_LIMIT: usize = 65_535;
 
+/// Deepest nesting of an expression; a chain of n operators nests n deep. In a debug build a chain of
+/// 200 fits into the 2 MB stack of a thread and one of 300 overflows it.
+const DEPTH_LIMIT: usize = 150;
+
 /// Types of a statement's parameters, as far as they are known.
 #[derive(Clone, Debug, Default)]
 pub struct ParameterTypes {
@@ -78,9 +82,15 @@
     pub parameters: &'a mut ParameterTypes,
     /// Aggregates found so far, or nothing where they are not allowed.
     pub aggregates: Option<Vec<AggregateCall>>,
+    depth: usize,
 }
 
-impl ExpressionBinder<'_> {
+impl<'a> ExpressionBinder<'a> {
+    /// Creates a binder that refuses aggregates.
+    pub const fn new(scope: &'a ColumnScope, parameters: &'a mut ParameterTypes) -> Self {
+        Self { scope, parameters, aggregates: None, depth: 0 }
+    }
+
     /// Binds an expression; `hint` is the type that literals and parameters take.
     ///
     /// # Errors
@@ -90,6 +100,20 @@
         &mut self,
         expression: &Expr,
         hint: Option<ColumnType>,
+    ) -> Result<BoundExpression, SqlError> {
+        if self.depth == DEPTH_LIMIT {
+            return Err(SqlError::new("54001", "the expression is nested too deeply"));
+        }
+        self.depth += 1;
+        let bound = self.bind_node(expression, hint);
+        self.depth -= 1;
+        bound
+    }
+
+    fn bind_node(
+        &mut self,
+        expression: &Expr,
+        hint: Option<ColumnType>,
     ) -> Result<BoundExpression, SqlError> {
         match expression {
             Expr::Nested(inner) => self.bind(inner, hint),
--- a/crates/standin/src/sql/define.rs
+++ b/crates/standin/src/sql/define.rs
@@ -173,8 +173,7 @@
 fn constant(expression: &Expr, kind: ColumnType) -> Result<Value, SqlError> {
     let scope = ColumnScope::default();
     let mut parameters = ParameterTypes::default();
-    let mut binder =
-        ExpressionBinder { scope: &scope, parameters: &mut parameters, aggregates: None };
+    let mut binder = ExpressionBinder::new(&scope, &mut parameters);
     let bound = binder.bind_as(expression, kind, "default")?;
     if !parameters.kinds.is_empty() {
         return Err(SqlError::new("42P02", "there are no parameters in a default"));
--- a/crates/standin/src/sql/evaluate.rs
+++ b/crates/standin/src/sql/evaluate.rs
@@ -130,7 +130,7 @@
             for argument in arguments {
                 values.push(value(argument)?);
             }
-            function.call(&values, context)
+            function.call(&values, context)?.fit(expression.kind)
         }
     }
 }
--- a/crates/standin/src/sql/query.rs
+++ b/crates/standin/src/sql/query.rs
@@ -72,7 +72,8 @@
     };
     let filter = bind_filter(select.selection.as_ref(), schema.as_deref(), &scope, parameters)?;
     let group = bind_group(&select.group_by, &scope, parameters)?;
-    let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: Some(Vec::new()) };
+    let mut binder = ExpressionBinder::new(&scope, parameters);
+    binder.aggregates = Some(Vec::new());
     let (columns, projection) = bind_projection(&select.projection, &mut binder)?;
     let mut order = Vec::new();
     if let Some(clause) = &query.order_by {
@@ -164,7 +165,7 @@
     match (function.as_str(), values.as_slice()) {
         ("generate_series", [first, last]) => {
             let scope = ColumnScope::default();
-            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            let mut binder = ExpressionBinder::new(&scope, parameters);
             let first = binder.bind(first, Some(ColumnType::Int8))?;
             let last = binder.bind(last, Some(ColumnType::Int8))?;
             let kind = match (first.kind, last.kind) {
@@ -259,7 +260,7 @@
     parameters: &mut ParameterTypes,
 ) -> Result<RowFilter, SqlError> {
     let Some(selection) = selection else { return Ok(RowFilter::default()) };
-    let mut binder = ExpressionBinder { scope, parameters, aggregates: None };
+    let mut binder = ExpressionBinder::new(scope, parameters);
     let condition = binder.bind_condition(selection)?;
     let lookup = schema.and_then(|schema| find_lookup(schema, &condition));
     Ok(RowFilter { condition: Some(condition), lookup })
@@ -318,7 +319,7 @@
     }
     let mut columns = Vec::with_capacity(expressions.len());
     for expression in expressions {
-        let mut binder = ExpressionBinder { scope, parameters, aggregates: None };
+        let mut binder = ExpressionBinder::new(scope, parameters);
         let ExpressionNode::Column(column) = binder.bind(expression, None)?.node else {
             return Err(SqlError::unsupported("GROUP BY an expression"));
         };
@@ -378,7 +379,7 @@
     parameters: &mut ParameterTypes,
 ) -> Result<ReturningPlan, SqlError> {
     let Some(items) = items else { return Ok(ReturningPlan::default()) };
-    let mut binder = ExpressionBinder { scope, parameters, aggregates: None };
+    let mut binder = ExpressionBinder::new(scope, parameters);
     let (columns, projection) = bind_projection(items, &mut binder)?;
     Ok(ReturningPlan { columns, projection })
 }
@@ -484,7 +485,7 @@
         Some(other) => return Err(SqlError::unsupported(format!("the clause {other}"))),
     };
     let scope = ColumnScope::default();
-    let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+    let mut binder = ExpressionBinder::new(&scope, parameters);
     let limit = limit.map(|limit| binder.bind_as(limit, ColumnType::Int8, "LIMIT")).transpose()?;
     let offset =
         offset.map(|offset| binder.bind_as(offset, ColumnType::Int8, "OFFSET")).transpose()?;
--- a/crates/standin/src/sql/write.rs
+++ b/crates/standin/src/sql/write.rs
@@ -128,7 +128,7 @@
                 row.push(None);
                 continue;
             }
-            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            let mut binder = ExpressionBinder::new(&scope, parameters);
             row.push(Some(binder.bind_as(expression, column.kind, &column.name)?));
         }
         rows.push(row);
@@ -227,7 +227,7 @@
             let default = column.default.clone().unwrap_or(Value::Null);
             BoundExpression::new(ExpressionNode::Constant(default), column.kind)
         } else {
-            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            let mut binder = ExpressionBinder::new(&scope, parameters);
             binder.bind_as(&assignment.value, column.kind, &column.name)?
         };
         assignments.push((index, value));
@@ -291,6 +291,11 @@
 ) -> Result<WriteResult, StatementHalt> {
     let context = input.context(sleep);
     let schema = &plan.schema;
+    let created = transaction.created.values().any(|created| created.id == schema.id);
+    if !created && !data.tables.contains_key(&schema.id) {
+        let message = format!("relation \"{}\" does not exist", schema.name);
+        return Err(SqlError::new("42P01", message).into());
+    }
     let mut writes = StatementWrites::new(schema.clone());
     let mut result = (Vec::new(), 0);
     for given in insert_rows(plan, input, data, transaction, sleep)? {
--- a/crates/standin/tests/statements.rs
+++ b/crates/standin/tests/statements.rs
@@ -86,6 +86,8 @@
         ("SELECT depot + 1 FROM orders", "42883"),
         ("SELECT 1 / 0", "22012"),
         ("SELECT 2147483647 + 1", "22003"),
+        ("SELECT abs(-2147483648)", "22003"),
+        ("SELECT -9223372036854775808 - 1", "22003"),
         ("SELECT id, count(*) FROM orders", "42803"),
         ("SELECT * FROM orders WHERE boxes", "42804"),
         ("SELECT * FROM orders a JOIN orders b ON a.id = b.id", "0A000"),
@@ -132,6 +134,10 @@
     for (text, expected) in cases {
         assert_eq!(failure(&client, text).await, expected, "{text}");
     }
+    let deep = format!("SELECT 1{}", " + 1".repeat(140));
+    assert_eq!(rows(&client, &deep).await, ["141"]);
+    let deeper = format!("SELECT 1 WHERE 1 = 1{}", " AND 1 = 1".repeat(5_000));
+    assert_eq!(failure(&client, &deeper).await, "54001", "the stack is not used up");
     assert_eq!(rows(&client, "SELECT * FROM orders").await, ["1|selkirk|2"]);
     server.kill().await;
 }
