--- a/crates/standin/src/sql/write.rs
+++ b/crates/standin/src/sql/write.rs
@@ -128,7 +128,7 @@
                 row.push(None);
                 continue;
             }
-            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            let mut binder = ExpressionBinder::new(&scope, parameters);
             row.push(Some(binder.bind_as(expression, column.kind, &column.name)?));
         }
         rows.push(row);
@@ -227,7 +227,7 @@
             let default = column.default.clone().unwrap_or(Value::Null);
             BoundExpression::new(ExpressionNode::Constant(default), column.kind)
         } else {
-            let mut binder = ExpressionBinder { scope: &scope, parameters, aggregates: None };
+            let mut binder = ExpressionBinder::new(&scope, parameters);
             binder.bind_as(&assignment.value, column.kind, &column.name)?
         };
         assignments.push((index, value));
@@ -291,6 +291,11 @@
 ) -> Result<WriteResult, StatementHalt> {
     let context = input.context(sleep);
     let schema = &plan.schema;
+    let created = transaction.created.values().any(|created| created.id == schema.id);
+    if !created && !data.tables.contains_key(&schema.id) {
+        let message = format!("relation \"{}\" does not exist", schema.name);
+        return Err(SqlError::new("42P01", message).into());
+    }
     let mut writes = StatementWrites::new(schema.clone());
     let mut result = (Vec::new(), 0);
     for given in insert_rows(plan, input, data, transaction, sleep)? {
@@ -395,23 +400,32 @@
     Ok(result)
 }
 
-/// Locks the rows of `SELECT ... FOR UPDATE`.
-///
-/// Every row of the filter is locked, also beyond `LIMIT`.
+/// Runs `SELECT ... FOR UPDATE` and locks the rows of its result.
 ///
 /// # Errors
 ///
 /// As [`change`].
-pub fn lock_query(
-    plan: &QueryPlan,
-    input: &StatementInput,
+pub fn select_locked(
+    plan: &Arc<QueryPlan>,
+    input: StatementInput,
     data: &mut DataStore,
-    transaction: &mut OpenTransaction,
+    transaction: &OpenTransaction,
     sleep: &Cell<f64>,
-) -> Result<(), StatementHalt> {
-    let QuerySource::Table(schema) = &plan.source else { return Ok(()) };
-    locked_rows(schema, &plan.filter, data, transaction, &input.context(sleep))?;
-    Ok(())
+) -> Result<Vec<Vec<Value>>, StatementHalt> {
+    let QuerySource::Table(schema) = &plan.source else { return Ok(Vec::new()) };
+    let status = SharedRow::from([]);
+    let mut cursor = QueryCursor::open(plan.clone(), input, status, data, transaction)?;
+    let mut rows = Vec::new();
+    while !cursor.is_done() {
+        cursor.step(data, sleep)?;
+        while let Some((id, row)) = cursor.take_found() {
+            if let Some(id) = id {
+                lock_row(schema, id, data, transaction)?;
+            }
+            rows.push(row);
+        }
+    }
+    Ok(rows)
 }
 
 fn locked_rows(
@@ -430,15 +444,25 @@
         }
     }
     for (id, _) in &rows {
-        data.locks.acquire(transaction.id, LockName::Row(schema.id, *id))?;
-        let latest = data.tables.get(&schema.id).map_or(0, |rows| rows.latest_offset(*id));
-        if latest > transaction.snapshot.position.offset {
-            return Err(StatementHalt::Stale);
-        }
+        lock_row(schema, *id, data, transaction)?;
     }
     Ok(rows)
 }
 
+fn lock_row(
+    schema: &TableSchema,
+    id: u64,
+    data: &mut DataStore,
+    transaction: &OpenTransaction,
+) -> Result<(), StatementHalt> {
+    data.locks.acquire(transaction.id, LockName::Row(schema.id, id))?;
+    let latest = data.tables.get(&schema.id).map_or(0, |rows| rows.latest_offset(id));
+    if latest > transaction.snapshot.position.offset {
+        return Err(StatementHalt::Stale);
+    }
+    Ok(())
+}
+
 fn checked_row(schema: &TableSchema, row: Vec<Value>) -> Result<SharedRow, SqlError> {
     let mut checked = Vec::with_capacity(row.len());
     for (value, column) in row.into_iter().zip(&schema.columns) {
