fix(entry): treat each statement of a pinned session as new work

A pinned session on a leaving target, or on a replica that had become too old, kept being served without a check. Idle connections beyond the warm ones are closed, waits on a connection end when the gate closes, and callers share one question for a remote high-water mark.

--- a/crates/entry/src/broker/grant.rs
+++ b/crates/entry/src/broker/grant.rs
@@ -6,6 +6,7 @@
         hub::HubShared,
         target::{
             HeldSlot, QueuedSlot, SlotAnswer, SlotAssignment, TargetGate, TargetShared, failure,
+            gate_closed,
         },
     },
     crate::link::{
@@ -209,7 +210,7 @@
 
     /// Checks the request against the gate and the target's status, waiting at most `limit` for a
     /// status that allows it.
-    async fn admit(&mut self, limit: Micros) -> Result<(), GrantEnd> {
+    pub(super) async fn admit(&mut self, limit: Micros) -> Result<(), GrantEnd> {
         let kind = match self.check_request() {
             Ok(()) => return Ok(()),
             Err(kind) => kind,
@@ -313,8 +314,17 @@
         }
     }
 
+    // A closed gate ends every wait at once, so that no connection outlives the lease.
     async fn settle_connection(mut self) {
-        let Some(mut connection) = self.connection.take() else { return };
+        let Some(connection) = self.connection.take() else { return };
+        let mut gate = self.gate.clone();
+        tokio::select! {
+            () = self.settle(connection) => {}
+            () = gate_closed(&mut gate) => {}
+        }
+    }
+
+    async fn settle(&mut self, mut connection: TargetConnection) {
         let state = ConnectionState {
             idle: self.status == TransactionStatus::Idle,
             mid_answer: !connection.replies.is_idle() || !self.wire.is_empty(),
@@ -338,7 +348,7 @@
                     ("server", self.shared.server.to_string()),
                 ];
                 self.shared.events.record(EventNumber::ConnectionDiscarded, &fields);
-                if state.mid_answer && self.gate.borrow().open {
+                if state.mid_answer {
                     // The slot stays taken while the target may still execute the statement.
                     let key = connection.cancel_key.clone();
                     let _ = key.send(CANCEL_WAIT).await;
--- a/crates/entry/src/broker/hub.rs
+++ b/crates/entry/src/broker/hub.rs
@@ -3,7 +3,9 @@
 use {
     super::{
         grant::GrantTask,
-        keeper, probe,
+        keeper,
+        mark::MarkShare,
+        probe,
         remote::PeerPool,
         settings::BrokerSettings,
         target::{TargetGate, TargetShared, failure},
@@ -76,6 +78,7 @@
     limits: Mutex<LimitCache>,
     reports: watch::Sender<Vec<TargetReport>>,
     grants: AtomicU64,
+    marks: Mutex<FastMap<SharedName, Arc<MarkShare>>>,
     metrics: StatsdClient,
 }
 
@@ -135,6 +138,11 @@
         limit
     }
 
+    fn mark_share(&self, database: &SharedName) -> Arc<MarkShare> {
+        let mut marks = self.marks.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(marks.entry(database.clone()).or_default())
+    }
+
     fn book(&self) -> MutexGuard<'_, ReportBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -255,6 +263,7 @@
             limits: Mutex::default(),
             reports: watch::Sender::new(Vec::new()),
             grants: AtomicU64::new(0),
+            marks: Mutex::default(),
             metrics,
         });
         let hub = Self { shared: Arc::clone(&shared), routes, leased: false };
@@ -465,7 +474,9 @@
         if primary.broker.is_empty() {
             return Err(FailureKind::Unreachable);
         }
-        self.shared.peers.high_water_mark(&primary.broker_address, database).await
+        let share = self.shared.mark_share(database);
+        let question = self.shared.peers.high_water_mark(&primary.broker_address, database);
+        share.ask(question).await
     }
 }
 
--- a/crates/entry/src/broker/keeper.rs
+++ b/crates/entry/src/broker/keeper.rs
@@ -4,7 +4,7 @@
     super::{
         connection::{ConnectionFault, TargetConnection},
         hub::HubShared,
-        target::TargetShared,
+        target::{TargetShared, gate_closed},
     },
     banyansill_core::{failure::FailureKind, time::Micros},
     std::{sync::Arc, time::Duration},
@@ -79,6 +79,7 @@
                 () = sleep_until(self.paused_until), if self.paused_until > Instant::now() => {}
                 _ = verify.tick() => {
                     if open {
+                        shared.trim_idle();
                         self.verify_oldest();
                     }
                 }
@@ -127,7 +128,12 @@
         };
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
-            match connection.synchronize(VERIFY_LIMIT).await {
+            let mut gate = shared.gate.subscribe();
+            let verified = tokio::select! {
+                verified = connection.synchronize(VERIFY_LIMIT) => verified,
+                () = gate_closed(&mut gate) => return,
+            };
+            match verified {
                 Ok(()) => shared.put_back(connection),
                 Err(fault) => {
                     log::warn!("target {}/{}: idle: {fault}", shared.database, shared.server);
--- a/crates/entry/src/broker/mod.rs
+++ b/crates/entry/src/broker/mod.rs
@@ -8,6 +8,7 @@
 mod hub;
 mod keeper;
 mod lifecycle;
+mod mark;
 mod position;
 mod probe;
 mod pump;
--- a/crates/entry/src/broker/pump.rs
+++ b/crates/entry/src/broker/pump.rs
@@ -7,7 +7,10 @@
         target::{SlotAnswer, SlotAssignment},
     },
     crate::link::{LinkFailure, LinkInput, LinkOutput, TransactionStatus},
-    banyansill_core::{event::EventNumber, failure::FailureKind, position::LogTerm, time::Micros},
+    banyansill_core::{
+        broker::floor_wait, event::EventNumber, failure::FailureKind, position::LogTerm,
+        time::Micros,
+    },
     bytes::Bytes,
     std::io,
     tokio::{
@@ -64,7 +67,7 @@
                     self.take_slot(assignment);
                     self.feed_stalled()?;
                 }
-                PumpEvent::Input(message) => self.take_input(message)?,
+                PumpEvent::Input(message) => self.take_input(message).await?,
                 PumpEvent::Read(Ok(count)) if count > 0 => self.take_output()?,
                 PumpEvent::Wrote(Ok(count)) if count > 0 => {}
                 PumpEvent::Read(_) | PumpEvent::Wrote(_) => {
@@ -186,12 +189,12 @@
         self.shared.events.record(EventNumber::FirstWrite, &fields);
     }
 
-    fn take_input(&mut self, message: Option<LinkInput>) -> Result<(), GrantEnd> {
+    async fn take_input(&mut self, message: Option<LinkInput>) -> Result<(), GrantEnd> {
         match message {
             Some(LinkInput::Data(data)) => {
                 self.stalled.push_back(data);
                 if self.slot.is_none() && self.queued.is_none() {
-                    self.request_next_slot()?;
+                    self.request_next_slot().await?;
                 }
                 self.feed_stalled()
             }
@@ -204,7 +207,11 @@
         }
     }
 
-    fn request_next_slot(&mut self) -> Result<(), GrantEnd> {
+    async fn request_next_slot(&mut self) -> Result<(), GrantEnd> {
+        if !self.first && self.status == TransactionStatus::Idle {
+            // Outside a transaction each statement of a pinned session is new work.
+            self.admit(floor_wait(self.request.deadline)).await?;
+        }
         // The deadline of a later statement counts from its arrival.
         if !self.first {
             self.arm(Instant::now() + self.request.deadline.as_duration());
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// Waits until the gate closes or the broker ends.
+pub(super) async fn gate_closed(gate: &mut watch::Receiver<TargetGate>) {
+    let _ = gate.wait_for(|gate| !gate.open).await;
+}
+
 /// Slot, and for a fresh request also a connection.
 #[derive(Debug)]
 pub(super) struct SlotAssignment {
@@ -391,6 +396,19 @@
         }
     }
 
+    /// Closes the idle connection that was heard from least recently, if more are idle than the
+    /// pool keeps warm.
+    pub(super) fn trim_idle(&self) {
+        let mut state = self.lock();
+        if state.idle.len() <= state.rules.warm as usize + 1 {
+            return;
+        }
+        // The most recently used connections are at the end.
+        let oldest = state.idle.remove(0);
+        drop(state);
+        drop(oldest);
+    }
+
     /// Refuses every waiting request.
     pub(super) fn refuse_waiting(&self, kind: FailureKind, detail: &str) {
         let waiters = {
