--- a/crates/entry/tests/broker_grants.rs
+++ b/crates/entry/tests/broker_grants.rs
@@ -3,7 +3,9 @@
 mod broker_support;
 
 use {
-    banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
+    banyansill_core::{
+        failure::FailureKind, position::LogPosition, sheet::RuleSheet, time::Micros,
+    },
     banyansill_entry::link::{GrantRouter, LinkInput, TransactionStatus},
     broker_support::{
         Outcome, TestHost, batch, bind_execute, fake::FakeTarget, name, once, outcome, read, run,
@@ -11,7 +13,7 @@
     },
     bytes::BytesMut,
     postgres_protocol::message::frontend,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -78,6 +80,92 @@
     });
 }
 
+fn copy_data(buffer: &mut BytesMut, fails: bool) {
+    for _ in 0..3 {
+        frontend::CopyData::new(&b"1\n"[..]).unwrap().write(buffer);
+    }
+    if fails { frontend::copy_fail("stop", buffer).unwrap() } else { frontend::copy_done(buffer) }
+}
+
+// Guards against a connection that waits for a ReadyForQuery that never comes, because the target
+// ignored a Sync while it read copy data, or that takes one for the next statement's.
+#[test]
+fn copy_data_keeps_replies_in_step() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut link = host.handle.open(write("p"));
+        for fails in [false, true] {
+            let mut simple = BytesMut::from(&broker_support::query("COPY")[..]);
+            copy_data(&mut simple, fails);
+            send(&link, LinkInput::Data(simple.freeze())).await;
+            let expected = if fails { "GE" } else { "GC" };
+            assert_eq!(outcome(&mut link).await.tags(), expected);
+            for early_sync in [false, true] {
+                let mut extended = BytesMut::new();
+                frontend::parse("bs_c", "COPY", [], &mut extended).unwrap();
+                bind_execute("bs_c", &mut extended);
+                if early_sync {
+                    frontend::sync(&mut extended);
+                }
+                copy_data(&mut extended, fails);
+                frontend::sync(&mut extended);
+                send(&link, LinkInput::Data(extended.freeze())).await;
+                assert_eq!(outcome(&mut link).await.tags(), format!("12{expected}"));
+            }
+        }
+        assert_eq!(step(&mut link, "ROWS 1").await.tags(), "TDC");
+        send(&link, LinkInput::Release).await;
+        host.quiet().await;
+        let started = fake.lock().started;
+        assert_eq!(once(&host.handle, read("p"), "ROWS 1").await.tags(), "TDC");
+        assert_eq!(fake.lock().started, started, "the connection was reused");
+    });
+}
+
+// Guards against new work on a leaving target, also by sessions that hold a connection.
+#[test]
+fn a_leaving_target_ends_what_runs_and_takes_nothing_new() {
+    run(async {
+        let (host, fake) = primary().await;
+        let mut open = host.handle.open(write("p"));
+        step(&mut open, "BEGIN").await;
+        let mut pinned = host.handle.open(read("p"));
+        step(&mut pinned, "SET").await;
+        let mut leaving = target("p", &fake, "a", "");
+        leaving.draining = true;
+        host.publish(table(vec![leaving]));
+        sleep(Duration::from_millis(50)).await;
+        let refused = Outcome::Refused(FailureKind::Leaving);
+        assert_eq!(step(&mut pinned, "ROWS 1").await, refused);
+        assert_eq!(once(&host.handle, read("p"), "ROWS 1").await, refused);
+        assert_eq!(step(&mut open, "INSERT").await.tags(), "C");
+        assert_eq!(step(&mut open, "COMMIT").await.tags(), "C");
+    });
+}
+
+// Guards against a kind that runs more often at a time than the sheet allows.
+#[test]
+fn the_sheet_limits_concurrency() {
+    run(async {
+        let fake = FakeTarget::start("primary").await;
+        let mut routes = table(vec![target("p", &fake, "a", "")]);
+        let sheet = "database,application,kind,access,targets,max_age_ms,ack,repeatable,priority,\
+                     deadline_ms,max_concurrent\n*,*,*,read,any,,primary,no,1,5000,1\n";
+        routes.sheet = Some(Arc::new(RuleSheet::parse(sheet.as_bytes()).unwrap()));
+        let host = TestHost::start("a", routes);
+        host.opened("p").await;
+        let mut tasks = Vec::new();
+        for _ in 0..4 {
+            let handle = host.handle.clone();
+            tasks.push(tokio::spawn(async move { once(&handle, read("p"), "SLEEP 30").await }));
+        }
+        for task in tasks {
+            assert_eq!(task.await.unwrap().tags(), "C");
+        }
+        assert_eq!(fake.lock().most_running, 1);
+    });
+}
+
 // Guards against a slot that an open transaction keeps between its statements, and against
 // statements of two callers on one connection.
 #[test]
--- a/crates/entry/tests/broker_support/fake.rs
+++ b/crates/entry/tests/broker_support/fake.rs
@@ -94,6 +94,8 @@
     failed: bool,
     seen: u64,
     out: Vec<u8>,
+    /// Copy data is expected; tells whether a simple query began it.
+    copying: Option<bool>,
 }
 
 impl FakeSession {
@@ -110,6 +112,7 @@
             failed: false,
             seen: 0,
             out: Vec::new(),
+            copying: None,
         }
     }
 
@@ -151,7 +154,7 @@
             let mute = self.fake.lock().mute.contains(&self.number);
             self.hang_if_silent(mute).await;
             self.take(tag, &body, &cancel).await;
-            if matches!(tag, b'Q' | b'S' | b'H') {
+            if matches!(tag, b'Q' | b'S' | b'H' | b'c' | b'f') {
                 self.flush().await?;
             }
         }
@@ -167,11 +170,29 @@
         if self.failed && tag != b'S' {
             return;
         }
+        if let Some(simple) = self.copying {
+            // Sync and Flush are ignored while copy data is read.
+            if matches!(tag, b'c' | b'f') {
+                self.copying = None;
+                if tag == b'c' {
+                    self.complete("COPY 1")
+                } else {
+                    self.fail("57014", "ERROR")
+                }
+                if simple {
+                    self.failed = false;
+                    self.ready();
+                }
+            }
+            return;
+        }
         match tag {
             b'Q' => {
                 let sql = text(body).to_owned();
                 self.run(&sql, true, cancel).await;
-                self.ready();
+                if self.copying.is_none() {
+                    self.ready();
+                }
             }
             b'P' => {
                 let name = text(body).to_owned();
@@ -261,6 +282,10 @@
                 }
                 self.complete("SELECT 1");
             }
+            "COPY" => {
+                self.message(b'G', &[0, 0, 0]);
+                self.copying = Some(simple);
+            }
             "BAD" => self.fail("42601", "ERROR"),
             "DIE" => self.fail("57P01", "FATAL"),
             "SELECT" => {
