feat(entry): replay harmless settings instead of pinning

Settings of the start-up packet were left out silently, so a caller with a search path or time zone of its own got other answers than it asked for. They are now sent with each grant, or the start-up is refused.

--- a/crates/core/src/statement/mod.rs
+++ b/crates/core/src/statement/mod.rs
@@ -14,8 +14,8 @@
     crate::names::SharedName,
     sqlparser::{
         ast::{
-            ContextModifier, DiscardObject, ObjectName, Set, Statement, TransactionAccessMode,
-            TransactionMode,
+            ContextModifier, DiscardObject, ObjectName, Reset, Set, Statement,
+            TransactionAccessMode, TransactionMode,
         },
         dialect::PostgreSqlDialect,
         parser::Parser,
@@ -64,8 +64,11 @@
         /// Value as text without quotes.
         value: String,
     },
-    /// Resets settings to their defaults.
-    Reset,
+    /// Resets one setting, or all, to the session's defaults.
+    Reset {
+        /// Name of the setting in lower case.
+        name: Option<String>,
+    },
     /// `DISCARD ALL`.
     DiscardAll,
     /// `DEALLOCATE ALL`.
@@ -164,6 +167,7 @@
             let setting = matches!(
                 action,
                 StatementAction::Setting { .. }
+                    | StatementAction::Reset { .. }
                     | StatementAction::DiscardAll
                     | StatementAction::DeallocateAll
             );
@@ -214,7 +218,13 @@
         | Statement::StartTransaction { .. }
         | Statement::Call(_) => (Action::Write, ConnectionEffect::TAINTS),
         Statement::Set(set) => inspect_set(set),
-        Statement::Reset(_) => (Action::Reset, ConnectionEffect::NONE),
+        Statement::Reset(statement) => match &statement.reset {
+            Reset::ALL => (Action::Reset { name: None }, ConnectionEffect::NONE),
+            Reset::ConfigurationParameter(name) => {
+                (Action::Reset { name: Some(setting_name(name)) }, ConnectionEffect::NONE)
+            }
+            Reset::SessionAuthorization => (Action::Write, ConnectionEffect::PINS),
+        },
         Statement::Discard { object_type: DiscardObject::ALL } => {
             (Action::DiscardAll, ConnectionEffect::NONE)
         }
@@ -267,6 +277,11 @@
             let value = charset_name.value.trim_matches('\'').to_owned();
             (StatementAction::Setting { name, value }, ConnectionEffect::NONE)
         }
+        Set::SetTimeZone { local: false, value } => {
+            let name = "timezone".to_owned();
+            let value = value.to_string().trim_matches('\'').to_owned();
+            (StatementAction::Setting { name, value }, ConnectionEffect::NONE)
+        }
         _ => (StatementAction::Write, ConnectionEffect::PINS),
     }
 }
--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -125,6 +125,8 @@
     pub(super) skipping: bool,
     /// The Sync of the running exchange was seen.
     pub(super) sync_seen: bool,
+    /// The target reported an error in the last exchange.
+    pub(super) target_error: bool,
     draining: watch::Receiver<bool>,
 }
 
@@ -163,6 +165,7 @@
                 grant: None,
                 skipping: false,
                 sync_seen: true,
+                target_error: false,
                 draining,
             };
             let end = session.run().await;
@@ -307,7 +310,10 @@
         match self.local_reply(&profile, text) {
             LocalReply::None => {
                 let summary = RequestSummary::of(&profile);
-                self.request(CallerRequest { data: frame.bytes, summary, complete: true }).await
+                let setting = self.replayable(&profile, text);
+                let data = frame.bytes.clone();
+                let request = CallerRequest { data, summary, complete: true, setting: None };
+                self.request(request.remember(setting)).await
             }
             reply => {
                 let mut buffer = BytesMut::new();
@@ -362,8 +368,11 @@
     async fn send_batch(&mut self, complete: bool) -> Result<(), SessionEnd> {
         let batch = std::mem::take(&mut self.batch);
         let summary = RequestSummary::of_batch(&batch);
+        let setting = batch.local_candidate().filter(|_| complete);
+        let setting = setting.and_then(|text| self.replayable(&batch.profiles[0], &text));
         let data = batch.output.freeze();
-        self.request(CallerRequest { data, summary, complete }).await
+        let request = CallerRequest { data, summary, complete, setting: None };
+        self.request(request.remember(setting)).await
     }
 
     /// Returns the status byte that ReadyForQuery shows the caller.
--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -17,7 +17,7 @@
         sheet::{RuleAck, RuleTargets, SheetRule},
         time::Micros,
     },
-    bytes::BytesMut,
+    bytes::{Bytes, BytesMut},
     std::{
         sync::atomic::Ordering,
         time::{Duration, Instant},
@@ -94,7 +94,14 @@
             self.open_grant(&request).await?
         };
         match result {
-            Ok(()) => Ok(()),
+            Ok(()) => {
+                if let Some((name, text)) = request.setting
+                    && !self.target_error
+                {
+                    self.identity.settings.remember(name, text);
+                }
+                Ok(())
+            }
             Err(failure) => self.refuse(&failure, self.sync_seen).await,
         }
     }
@@ -220,32 +227,16 @@
                 Ok(grant) => grant,
                 Err(kind) => return Ok(Err(plain(kind))),
             };
-            let mut begun = true;
-            let end = match &begin {
-                None => self.exchange(&mut grant, request, false).await?,
-                Some(begin) => {
-                    let first = CallerRequest {
-                        data: begin.clone(),
-                        summary: RequestSummary { pins: false, ..summary.clone() },
-                        complete: true,
-                    };
-                    match self.exchange(&mut grant, &first, true).await? {
-                        ExchangeEnd::Ready if grant.status == TransactionStatus::InTransaction => {
-                            self.state = TransactionState::Open;
-                            self.exchange(&mut grant, request, false).await?
-                        }
-                        ExchangeEnd::Ready => {
-                            let detail = "the target did not start the transaction".to_owned();
-                            let kind = FailureKind::TransactionLost;
-                            let retry_after = Micros::ZERO;
-                            return Ok(Err(LinkFailure { kind, retry_after, detail }));
-                        }
-                        // Nothing but BEGIN was sent.
-                        ExchangeEnd::Failed { failure, .. } => {
-                            begun = false;
-                            ExchangeEnd::Failed { failure, refused: true, answered: false }
-                        }
-                    }
+            let begun;
+            let end = match self.prepare(&mut grant, begin.as_ref(), summary).await? {
+                Ok(()) => {
+                    begun = begin.is_some();
+                    self.exchange(&mut grant, request, false).await?
+                }
+                // Nothing of the request was sent.
+                Err(failure) => {
+                    begun = false;
+                    ExchangeEnd::Failed { failure, refused: true, answered: false }
                 }
             };
             let (failure, refused, answered) = match end {
@@ -256,7 +247,7 @@
                 }
                 ExchangeEnd::Failed { failure, refused, answered } => (failure, refused, answered),
             };
-            if begin.is_some() && begun {
+            if begun {
                 let lost = !refused && !summary.ends;
                 let kind = if lost { FailureKind::TransactionLost } else { failure.kind };
                 return Ok(Err(LinkFailure { kind, ..failure }));
@@ -274,6 +265,47 @@
         }
     }
 
+    /// Sends what comes before a request on a new grant: remembered settings and the held-back BEGIN.
+    async fn prepare(
+        &mut self,
+        grant: &mut HeldGrant,
+        begin: Option<&Bytes>,
+        summary: &RequestSummary,
+    ) -> Result<Result<(), LinkFailure>, SessionEnd> {
+        let settings = self.identity.settings.query();
+        let steps = [
+            (settings.as_ref(), TransactionStatus::Idle, FailureKind::Unsupported),
+            (begin, TransactionStatus::InTransaction, FailureKind::TransactionLost),
+        ];
+        for (data, status, kind) in steps {
+            let Some(data) = data else { continue };
+            let taints = summary.taints || status == TransactionStatus::Idle;
+            let request = CallerRequest {
+                data: data.clone(),
+                summary: RequestSummary { pins: false, taints, ..summary.clone() },
+                complete: true,
+                setting: None,
+            };
+            match self.exchange(grant, &request, true).await? {
+                ExchangeEnd::Ready if grant.status == status && !self.target_error => {}
+                ExchangeEnd::Ready => {
+                    let detail = "the target refused a setting or BEGIN".to_owned();
+                    return Ok(Err(LinkFailure { kind, retry_after: Micros::ZERO, detail }));
+                }
+                ExchangeEnd::Failed { failure, refused: true, .. } => return Ok(Err(failure)),
+                // The target was lost before anything of the request was sent to it.
+                ExchangeEnd::Failed { failure, .. } => {
+                    let kind = FailureKind::Unreachable;
+                    return Ok(Err(LinkFailure { kind, ..failure }));
+                }
+            }
+        }
+        if begin.is_some() {
+            self.state = TransactionState::Open;
+        }
+        Ok(Ok(()))
+    }
+
     /// Returns whether another target may be tried after a failure.
     ///
     /// A target that says it cannot serve the request costs no work, so moving on is free. Retries
--- a/crates/entry/src/session/local.rs
+++ b/crates/entry/src/session/local.rs
@@ -1,13 +1,14 @@
 //! Statements that the proxy answers itself.
 //!
 //! BEGIN is held back until the first statement, which decides the kind and the target of the
-//! transaction. Neutral settings change nothing on a target; any other SET outside a transaction pins
-//! the session to a connection of the primary.
+//! transaction. A SET to the default value changes nothing on a target. A few settings are remembered
+//! and sent again with each grant; any other SET pins the session to a connection of the primary.
 
 use {
     super::{
         answer,
         connection::{CallerSession, TransactionState},
+        replay::{can_replay, is_default},
         startup::kind_setting,
     },
     crate::link::{GrantRouter, LinkInput, TransactionStatus},
@@ -75,8 +76,17 @@
                 self.store.clear();
                 LocalReply::Complete("DEALLOCATE ALL")
             }
+            StatementAction::Reset { name } => {
+                self.identity.settings.reset(name.as_deref());
+                if name.as_deref().is_none_or(|name| name == KIND_SETTING) {
+                    self.identity.kind = self.identity.initial_kind.clone();
+                }
+                if self.grant.is_some() {
+                    return LocalReply::None;
+                }
+                LocalReply::Complete("RESET")
+            }
             _ if self.grant.is_some() => LocalReply::None,
-            StatementAction::Reset => LocalReply::Complete("RESET"),
             action => self.hold_transaction(action, text),
         }
     }
@@ -116,12 +126,10 @@
             }
             // The application of the sheet's rules is the one given at start-up.
             "application_name" => LocalReply::Setting("application_name", value.to_owned()),
-            "client_encoding" if is_utf8(value) => LocalReply::Complete("SET"),
-            "standard_conforming_strings" if value.eq_ignore_ascii_case("on") => {
+            _ if is_default(name, value) => {
+                self.identity.settings.reset(Some(name));
                 LocalReply::Complete("SET")
             }
-            // Every value above zero prints the shortest exact numbers, as the default does.
-            "extra_float_digits" if matches!(value, "1" | "2" | "3") => LocalReply::Complete("SET"),
             _ => LocalReply::None,
         }
     }
@@ -136,9 +144,22 @@
         }
         self.store.clear();
         self.identity.kind = self.identity.initial_kind.clone();
+        self.identity.settings.reset(None);
         LocalReply::Complete("DISCARD ALL")
     }
 
+    /// Returns the name and text of a setting that is remembered once a target has accepted it.
+    pub(super) fn replayable(
+        &self,
+        profile: &StatementProfile,
+        text: &[u8],
+    ) -> Option<(String, String)> {
+        let StatementAction::Setting { name, .. } = &profile.action else { return None };
+        let text = str::from_utf8(text).ok()?;
+        let free = self.state == TransactionState::Idle && self.grant.is_none();
+        (free && can_replay(name, text)).then(|| (name.clone(), text.to_owned()))
+    }
+
     /// Writes the answer of the statement, without ReadyForQuery.
     pub(super) fn write_local(&mut self, buffer: &mut BytesMut, reply: &LocalReply) {
         let severity = answer::ErrorSeverity::Error;
@@ -197,8 +218,3 @@
         }
     }
 }
-
-fn is_utf8(value: &str) -> bool {
-    let name: String = value.chars().filter(char::is_ascii_alphanumeric).collect();
-    name.eq_ignore_ascii_case("utf8") || name.eq_ignore_ascii_case("unicode")
-}
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -9,6 +9,7 @@
 mod local;
 mod prepared;
 mod registry;
+mod replay;
 mod request;
 mod startup;
 mod stream;
--- a/crates/entry/src/session/request.rs
+++ b/crates/entry/src/session/request.rs
@@ -50,7 +50,7 @@
             StatementAction::Setting { .. }
                 | StatementAction::DiscardAll
                 | StatementAction::DeallocateAll
-                | StatementAction::Reset
+                | StatementAction::Reset { .. }
         );
         Self {
             read: profile.is_read(),
@@ -146,4 +146,19 @@
     pub(super) summary: RequestSummary,
     /// Whether the target answers with ReadyForQuery without further messages.
     pub(super) complete: bool,
+    /// Name and text of the setting that the request changes, to be remembered for later grants.
+    pub(super) setting: Option<(String, String)>,
+}
+
+impl CallerRequest {
+    /// Makes the request one that sets a remembered setting and needs no connection of its own.
+    pub(super) fn remember(mut self, setting: Option<(String, String)>) -> Self {
+        if setting.is_some() {
+            self.summary.read = true;
+            self.summary.pins = false;
+            self.summary.taints = true;
+            self.setting = setting;
+        }
+        self
+    }
 }
--- a/crates/entry/src/session/startup.rs
+++ b/crates/entry/src/session/startup.rs
@@ -6,6 +6,7 @@
         connection::{CallerStream, SessionEnd},
         frame::split_text,
         registry::{CallerTicket, CancelKey},
+        replay::SettingReplay,
     },
     crate::link::GrantRouter,
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
@@ -93,10 +94,13 @@
     pub(super) kind: Option<SharedName>,
     /// Kind that was set at start-up.
     pub(super) initial_kind: Option<SharedName>,
+    /// Settings that go along from one grant to the next.
+    pub(super) settings: SettingReplay,
 }
 
 impl CallerIdentity {
-    fn new(parameters: &[(String, String)]) -> Option<Self> {
+    fn new(parameters: &[(String, String)]) -> Result<Self, SessionEnd> {
+        let refused = || SessionEnd::Failure(FailureKind::Unsupported, "a setting at start-up");
         let mut identity = Self::default();
         let mut database = None;
         for (name, value) in parameters {
@@ -105,27 +109,36 @@
                 "database" if !value.is_empty() => database = Some(value.as_str()),
                 "application_name" => identity.application = SharedName::from(value.as_str()),
                 "banyansill.kind" => identity.kind = kind_setting(value),
-                "options" => identity.read_options(value),
-                _ => {}
+                "options" => identity.read_options(value).ok_or_else(refused)?,
+                "database" => {}
+                _ if name.starts_with("_pq_.") || identity.settings.start_with(name, value) => {}
+                _ => return Err(refused()),
             }
         }
         if identity.user.is_empty() {
-            return None;
+            return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "no user name"));
         }
         identity.initial_kind = identity.kind.clone();
         identity.database = SharedName::from(database.unwrap_or(&identity.user));
-        Some(identity)
+        Ok(identity)
     }
 
-    /// Reads `-c name=value` options; other settings are left to the targets' defaults.
-    fn read_options(&mut self, options: &str) {
+    /// Reads `-c name=value` and `--name=value` options; returns `None` if one is not supported.
+    fn read_options(&mut self, options: &str) -> Option<()> {
         for word in options.split_ascii_whitespace() {
             let setting = word.strip_prefix("-c").or_else(|| word.strip_prefix("--"));
             let setting = setting.unwrap_or(word);
-            if let Some(value) = setting.strip_prefix("banyansill.kind=") {
+            if setting.is_empty() {
+                continue;
+            }
+            let (name, value) = setting.split_once('=')?;
+            if name == "banyansill.kind" {
                 self.kind = kind_setting(value);
+            } else if !self.settings.start_with(name, value) {
+                return None;
             }
         }
+        Some(())
     }
 }
 
@@ -174,9 +187,7 @@
     if shared.registry.is_full() {
         return Err(SessionEnd::Failure(FailureKind::TooManyCallers, ""));
     }
-    let Some(identity) = CallerIdentity::new(&parameters) else {
-        return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, "no user name"));
-    };
+    let identity = CallerIdentity::new(&parameters)?;
     if let Some(passwords) = &shared.passwords {
         passwords.check(stream, &identity.user).await?;
     }
--- a/crates/entry/src/session/stream.rs
+++ b/crates/entry/src/session/stream.rs
@@ -83,6 +83,7 @@
             hidden,
         };
         self.sync_seen = request.complete;
+        self.target_error = false;
         self.queue(grant, &mut state, &request.summary, request.data.clone());
         let ticket = self.ticket.cancel.clone();
         let mut cancelled = pin!(ticket.notified());
@@ -173,12 +174,12 @@
         match output {
             Some(LinkOutput::Granted { .. }) => Ok(None),
             Some(LinkOutput::Data(data)) => {
-                if state.hidden {
-                    return Ok(None);
-                }
-                state.answered = true;
                 let stream = &self.stream;
-                let report = filter::pass(&data, &mut self.store, |bytes| stream.put(bytes))?;
+                let hidden = state.hidden;
+                state.answered |= !hidden;
+                let put = |bytes: &[u8]| if hidden { Ok(()) } else { stream.put(bytes) };
+                let report = filter::pass(&data, &mut self.store, put)?;
+                self.target_error |= report.error;
                 if report.malformed {
                     return Ok(state.fail(plain(FailureKind::ConnectionLost), false));
                 }
