--- a/crates/entry/tests/session_lifecycle.rs
+++ b/crates/entry/tests/session_lifecycle.rs
@@ -8,7 +8,7 @@
     bytes::{BufMut, BytesMut},
     postgres_protocol::message::frontend,
     std::time::{Duration, Instant},
-    support::{Act, Bench, RawCaller, Seen, show},
+    support::{Act, Bench, RawCaller, Seen, show, texts},
     tokio::io::AsyncReadExt,
 };
 
@@ -236,3 +236,50 @@
     assert!(caller.next().await.is_none());
     assert!(bench.router.grants().is_empty());
 }
+
+// Guards against answers that reach another caller, and transactions that share a grant, when many
+// sessions run at once and some of them are cut off.
+#[tokio::test]
+async fn concurrent_sessions_do_not_mix() {
+    let bench = Bench::open_with(|settings| settings.workers = 2).await;
+    let mut tasks = Vec::new();
+    for number in 0..32 {
+        let address = bench.handle.address();
+        tasks.push(tokio::spawn(async move {
+            for round in 0..5 {
+                let mut caller = RawCaller::open(address).await;
+                caller.start().await;
+                for step in 0..20 {
+                    let tag = format!("echo-{number}-{round}-{step}");
+                    if step % 4 == 3 {
+                        caller.query("BEGIN").await;
+                        caller.query(&format!("INSERT INTO t VALUES ('{tag}')")).await;
+                    }
+                    let lines = caller.query(&format!("SELECT '{tag}'")).await;
+                    assert!(lines[1].contains(&format!("'{tag}'")), "{lines:?}");
+                    if step % 8 == 3 {
+                        assert_eq!(caller.query("COMMIT").await, ["CCOMMIT", "ZI"]);
+                    } else if step % 8 == 7 {
+                        assert_eq!(caller.query("ROLLBACK").await, ["CROLLBACK", "ZI"]);
+                    }
+                }
+                // Leaves with an answer outstanding and a transaction open.
+                caller.query("BEGIN").await;
+                caller.write(&query("SELECT 'echo-left'")).await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    bench.router.wait_for(|_| bench.handle.registry().open() == 0).await;
+    for grant in bench.router.grants() {
+        let mut owners = std::collections::BTreeSet::new();
+        for text in texts(&grant) {
+            if let Some((_, tag)) = text.split_once("echo-") {
+                owners.insert(tag.rsplit_once('-').map(|(owner, _)| owner.to_owned()));
+            }
+        }
+        assert!(owners.len() <= 1, "{owners:?}");
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -324,6 +324,8 @@
                     self.send(chunk).await;
                     self.router.0.lock().unwrap().rows_sent += 1;
                 }
+            } else if text.contains("echo") {
+                rows(buffer, text, 1);
             } else {
                 rows(buffer, server, 1);
             }
