--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -311,7 +311,7 @@
             answer::complete(buffer, &upper);
         } else if upper.starts_with("COPY") {
             answer::message(buffer, b'G', |buffer| buffer.put_slice(&[0, 0, 0]));
-        } else if upper.starts_with("FAIL") {
+        } else if upper.contains("FAIL") {
             let severity = answer::ErrorSeverity::Error;
             answer::error(buffer, severity, "42601", "syntax error", "", "");
         } else if upper.contains("SELECT") {
@@ -324,6 +324,8 @@
                     self.send(chunk).await;
                     self.router.0.lock().unwrap().rows_sent += 1;
                 }
+            } else if text.contains("echo") {
+                rows(buffer, text, 1);
             } else {
                 rows(buffer, server, 1);
             }
