--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -8,6 +8,7 @@
         leader,
         members::{MemberControl, SoloMembers},
         node::ControlNode,
+        replica::{InitialMember, ReplicaError, ReplicaHandle, ReplicaService, ReplicaSettings},
         service::ControlService,
         settings::ControlSettings,
         solo_log::SoloLog,
@@ -18,7 +19,7 @@
     banyansill_runtime::{events::EventSink, server::ServerHandle},
     banyansill_wire::v1::control_server::ControlServer,
     miette::Diagnostic,
-    std::{io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, path::PathBuf, time::Duration},
     thiserror::Error,
     tokio::{net::TcpListener, sync::watch, task::JoinHandle, time},
     tonic::transport::{Server, server::TcpIncoming},
@@ -42,6 +43,10 @@
         /// What the system reported.
         source: io::Error,
     },
+    /// The replicated log cannot be opened.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Replica(#[from] ReplicaError),
     /// The HTTP server cannot be started.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -60,6 +65,7 @@
     service: JoinHandle<()>,
     leader: JoinHandle<()>,
     admin: ServerHandle,
+    replica: Option<ReplicaHandle<ClusterState>>,
 }
 
 impl ControlHandle {
@@ -84,24 +90,62 @@
             self.service.abort();
         }
         self.leader.abort();
+        if let Some(replica) = &self.replica {
+            replica.stop().await;
+        }
         self.admin.stop(true).await;
         self.events.record(EventNumber::ProcessStopped, &fields);
         log::info!("control {} stopped", self.host);
     }
 }
 
-/// Starts a control replica whose state is kept in memory.
+/// Starts a control replica on the data folder of its settings, or in memory without one.
 ///
 /// # Errors
 ///
-/// Returns an error if a listener cannot be opened or the token file is not valid.
+/// Returns an error if a listener, the data folder or the token file cannot be opened.
 pub async fn spawn(settings: ControlSettings) -> Result<ControlHandle, SpawnError> {
-    log::warn!("the state is kept in memory only and ends with the process");
     let listener = listen(settings.listen).await?;
     let address = advertised(&settings, &listener)?;
-    let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
-    let members = SoloMembers { host: settings.host.clone(), address };
-    spawn_with(settings, listener, log, members).await
+    let events = EventSink::new(settings.host.clone());
+    let Some(folder) = settings.data.clone() else {
+        log::warn!("no data folder: the state is kept in memory and ends with the process");
+        let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
+        let members = SoloMembers { host: settings.host.clone(), address };
+        return spawn_with(settings, listener, events, (log, members), None).await;
+    };
+    let replica = replica_settings(&settings, address, folder);
+    let replica = ReplicaHandle::spawn(replica, ClusterState::default(), events.clone())?;
+    let service = replica.service();
+    let result =
+        spawn_with(settings, listener, events, (replica.clone(), replica.clone()), Some(service));
+    match result.await {
+        Ok(mut handle) => {
+            handle.replica = Some(replica);
+            Ok(handle)
+        }
+        Err(error) => {
+            replica.stop().await;
+            Err(error)
+        }
+    }
+}
+
+fn replica_settings(
+    settings: &ControlSettings,
+    address: String,
+    folder: PathBuf,
+) -> ReplicaSettings {
+    let mut replica = ReplicaSettings::single(settings.host.clone(), address.into(), folder);
+    replica.join = settings.join;
+    if !settings.replicas.is_empty() {
+        replica.initial_members.clear();
+        for peer in &settings.replicas {
+            let address = peer.address.to_string().into();
+            replica.initial_members.push(InitialMember { host: peer.host.clone(), address });
+        }
+    }
+    replica
 }
 
 /// Opens the tonic listener.
@@ -128,14 +172,14 @@
 pub async fn spawn_with<L, M>(
     settings: ControlSettings,
     listener: TcpListener,
-    log: L,
-    members: M,
+    events: EventSink,
+    (log, members): (L, M),
+    replica: Option<ReplicaService<ClusterState>>,
 ) -> Result<ControlHandle, SpawnError>
 where
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
-    let events = EventSink::new(settings.host.clone());
     let tokens = match &settings.tokens {
         Some(path) => TokenTable::load(path)?,
         None => TokenTable::default(),
@@ -155,7 +199,8 @@
         let stopped = async move {
             let _ = stopping.wait_for(|stop| *stop).await;
         };
-        let server = Server::builder().add_service(service);
+        let replica = replica.map(ReplicaService::into_server);
+        let server = Server::builder().add_service(service).add_optional_service(replica);
         if let Err(error) = server.serve_with_incoming_shutdown(incoming, stopped).await {
             log::error!("control service: {error}");
         }
@@ -163,5 +208,6 @@
     let fields = [("binary", "banyansill-control".to_owned()), ("address", address.to_string())];
     events.record(EventNumber::ProcessReady, &fields);
     let host = settings.host;
-    Ok(ControlHandle { host, address, http, events, stop, service, leader, admin })
+    let replica = None;
+    Ok(ControlHandle { host, address, http, events, stop, service, leader, admin, replica })
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod leader;
 pub mod members;
 pub mod node;
+pub mod replica;
 pub mod service;
 pub mod settings;
 pub mod solo_log;
+pub mod storage;
 pub mod view;
 pub mod watch;
 
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,7 +1,12 @@
 //! Changes of the set of control replicas.
 
 use {
-    crate::command_log::LogError, banyansill_core::names::SharedName, banyansill_wire::v1,
+    crate::{
+        node::NodeError,
+        replica::{MemberError, ReplicaHandle},
+    },
+    banyansill_core::{cluster::ClusterState, names::SharedName},
+    banyansill_wire::v1,
     std::future::Future,
 };
 
@@ -17,7 +22,7 @@
         host: SharedName,
         address: String,
         add: bool,
-    ) -> impl Future<Output = Result<String, LogError>> + Send;
+    ) -> impl Future<Output = Result<String, NodeError>> + Send;
 
     /// Returns the replicas as this one knows them.
     fn replicas(&self) -> impl Future<Output = Vec<v1::ReplicaStatus>> + Send;
@@ -38,8 +43,8 @@
         _host: SharedName,
         _address: String,
         _add: bool,
-    ) -> Result<String, LogError> {
-        Err(LogError::Stopped("a single replica in memory has no member changes".to_owned()))
+    ) -> Result<String, NodeError> {
+        Err(NodeError::Invalid("a replica in memory stands alone".to_owned()))
     }
 
     async fn replicas(&self) -> Vec<v1::ReplicaStatus> {
@@ -52,3 +57,41 @@
         }]
     }
 }
+
+impl MemberControl for ReplicaHandle<ClusterState> {
+    async fn change_member(
+        &self,
+        host: SharedName,
+        address: String,
+        add: bool,
+    ) -> Result<String, NodeError> {
+        let changed = if add {
+            self.add_member(&host, &address).await
+        } else {
+            self.remove_member(&host).await
+        };
+        match changed {
+            Ok(()) if add => Ok(format!("{host} is a voter")),
+            Ok(()) => Ok(format!("{host} is not a member any more")),
+            Err(MemberError::Log(error)) => Err(NodeError::Log(error)),
+            Err(error @ (MemberError::Pending | MemberError::CatchingUp)) => {
+                Err(NodeError::Busy(error.to_string()))
+            }
+            Err(error) => Err(NodeError::Invalid(error.to_string())),
+        }
+    }
+
+    async fn replicas(&self) -> Vec<v1::ReplicaStatus> {
+        let mut replicas = Vec::new();
+        for member in self.members().await.unwrap_or_default() {
+            replicas.push(v1::ReplicaStatus {
+                host: member.record.host.to_string(),
+                address: member.record.address.to_string(),
+                leader: member.leader,
+                voter: member.record.voter,
+                match_index: member.match_index,
+            });
+        }
+        replicas
+    }
+}
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -37,6 +37,9 @@
     /// The request is not valid.
     #[error("{0}")]
     Invalid(String),
+    /// An earlier change is not finished; the same request can be repeated later.
+    #[error("{0}")]
+    Busy(String),
     /// The cluster state rejects the request.
     #[error(transparent)]
     Rejected(ClusterRejection),
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -38,6 +38,7 @@
         let text = error.to_string();
         match error {
             NodeError::Invalid(_) => Self::invalid_argument(text),
+            NodeError::Busy(_) => Self::aborted(text),
             NodeError::Rejected(_) => Self::failed_precondition(text),
             NodeError::Log(LogError::NotLeader { leader }) => {
                 let mut status = Self::unavailable(text);
@@ -148,8 +149,7 @@
     ) -> Result<Response<v1::MemberReply>, Status> {
         let request = request.into_inner();
         let (host, address) = (request.host.as_str().into(), request.address);
-        let changed = self.node.members.change_member(host, address, request.add).await;
-        let detail = changed.map_err(NodeError::Log)?;
+        let detail = self.node.members.change_member(host, address, request.add).await?;
         Ok(Response::new(v1::MemberReply { done: true, detail }))
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cluster;
 pub mod collections;
+pub mod consensus;
 pub mod detector;
 pub mod event;
 pub mod failure;
