--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -111,7 +111,7 @@
     M: MemberControl,
 {
     let shared = Arc::clone(&state);
-    match run(&state, async move { shared.node.status().await }).await {
+    match run(&state, async move { shared.node.status(v1::StatusRequest::default()).await }).await {
         Ok(reply) => HttpResponse::Ok().json(&StatusBody::from(reply)),
         Err(error) => node_error(&error),
     }
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -29,6 +29,9 @@
 const MESSAGE_LIMIT: usize = SHEET_LIMIT + 64 * 1024;
 
 /// Time that open requests have to finish when the process stops.
+const REQUEST_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time that open streams have to finish after that.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
 /// A control replica that cannot be started.
@@ -86,13 +89,18 @@
         let fields = [("binary", "banyansill-control".to_owned())];
         self.events.record(EventNumber::ProcessStopping, &fields);
         let _ = self.stop.send(true);
-        if time::timeout(STOP_LIMIT, &mut self.service).await.is_err() {
-            self.service.abort();
-        }
+        // The streams of other replicas end only when this replica stops.
+        let mut finished = time::timeout(REQUEST_LIMIT, &mut self.service).await.is_ok();
         self.leader.abort();
         if let Some(replica) = &self.replica {
             replica.stop().await;
         }
+        if !finished {
+            finished = time::timeout(STOP_LIMIT, &mut self.service).await.is_ok();
+        }
+        if !finished {
+            self.service.abort();
+        }
         self.admin.stop(true).await;
         self.events.record(EventNumber::ProcessStopped, &fields);
         log::info!("control {} stopped", self.host);
@@ -192,7 +200,7 @@
     let (http, admin) = admin::spawn(settings.http, node.clone(), client.clone(), tokens).await?;
     let leader = tokio::spawn(leader::run(node.clone()));
     let (stop, mut stopping) = watch::channel(false);
-    let service = ControlServer::new(ControlService::new(node, client))
+    let service = ControlServer::new(ControlService::new(node, client, stopping.clone()))
         .max_decoding_message_size(MESSAGE_LIMIT);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let service = tokio::spawn(async move {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod service;
 pub mod settings;
 pub mod solo_log;
+mod status;
 pub mod storage;
 pub mod view;
 pub mod watch;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,7 +4,7 @@
     crate::{
         command_log::{CommandLog, LogError},
         members::MemberControl,
-        view,
+        status, view,
     },
     banyansill_core::{
         cluster::{
@@ -275,22 +275,27 @@
         Ok(changed)
     }
 
-    /// Returns the state as this replica has applied it, without a confirmation.
+    /// Returns the state as this replica has applied it, after a confirmation if the request asks for it.
     ///
     /// # Errors
     ///
-    /// Returns an error if the replica has stopped.
-    pub async fn status(&self) -> Result<v1::StatusReply, NodeError> {
+    /// Returns an error if the replica has stopped, or cannot confirm its leadership.
+    pub async fn status(&self, request: v1::StatusRequest) -> Result<v1::StatusReply, NodeError> {
+        if request.confirmed || !request.outlook_of.is_empty() {
+            self.log.confirm().await?;
+        }
         let role = self.log.status().borrow().clone();
         let leader = Arc::clone(&self.leader);
         let now = self.clock.now();
-        let mut reply = self
+        let reply = self
             .log
             .inspect(move |state| {
                 let leader = lock(&leader);
-                status_reply(state, leader.as_ref().map(|leader| &leader.table), now)
+                let table = leader.as_ref().map(|leader| &leader.table);
+                status::reply(state, table, &request.outlook_of, now)
             })
             .await?;
+        let mut reply = reply?;
         reply.leader = role.leader.unwrap_or_default();
         reply.consensus_term = role.term;
         reply.replicas = self.members.replicas().await;
@@ -354,36 +359,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn status_reply(
-    state: &ClusterState,
-    table: Option<&LivenessTable>,
-    now: Micros,
-) -> v1::StatusReply {
-    let mut databases = Vec::new();
-    for (name, group) in state.databases() {
-        databases.push(view::database_view(state, name, group));
-    }
-    let mut entries = Vec::new();
-    for (host, record) in state.entries() {
-        let holder = BrokerRef { host: host.clone(), incarnation: record.info.incarnation };
-        let seen = table.and_then(|table| table.entry(&holder, now)).unwrap_or_default();
-        entries.push(v1::EntryStatus {
-            entry: Some(view::entry_view(record)),
-            sheet_number: seen.sheet_number,
-            applied_version: seen.applied_version,
-            silent_ms: u32::try_from(seen.silent.as_millis()).unwrap_or(u32::MAX),
-            live: record.live,
-        });
-    }
-    v1::StatusReply {
-        version: state.version(),
-        databases,
-        sheet: view::sheet_view(state),
-        entries,
-        ..v1::StatusReply::default()
-    }
-}
-
 fn check_announcement(announcement: &v1::Announcement) -> Result<(), NodeError> {
     let names = [&announcement.database, &announcement.server, &announcement.address];
     for name in names {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -10,7 +10,7 @@
     },
     banyansill_core::cluster::ClusterState,
     banyansill_wire::v1::{self, control_server::Control},
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, watch::Receiver},
     tokio_stream::wrappers::ReceiverStream,
     tonic::{Code, Request, Response, Status, metadata::MetadataValue},
 };
@@ -23,13 +23,18 @@
 pub struct ControlService<L, M> {
     node: ControlNode<L, M>,
     client: LeaderClient,
+    stopping: Receiver<bool>,
 }
 
 impl<L, M> ControlService<L, M> {
-    /// Creates the service of a node.
+    /// Creates the service of a node; its streams end when `stopping` becomes true.
     #[must_use]
-    pub const fn new(node: ControlNode<L, M>, client: LeaderClient) -> Self {
-        Self { node, client }
+    pub const fn new(
+        node: ControlNode<L, M>,
+        client: LeaderClient,
+        stopping: Receiver<bool>,
+    ) -> Self {
+        Self { node, client, stopping }
     }
 }
 
@@ -75,7 +80,8 @@
     ) -> Result<Response<Self::WatchStream>, Status> {
         let (sender, receiver) = mpsc::channel(watch::WATCH_DEPTH);
         let since = request.into_inner().since_version;
-        tokio::spawn(watch::run(self.node.log.clone(), since, sender));
+        let (log, stopping) = (self.node.log.clone(), self.stopping.clone());
+        tokio::spawn(watch::run(log, since, sender, stopping));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -138,9 +144,9 @@
 
     async fn status(
         &self,
-        _request: Request<v1::StatusRequest>,
+        request: Request<v1::StatusRequest>,
     ) -> Result<Response<v1::StatusReply>, Status> {
-        Ok(Response::new(self.node.status().await?))
+        Ok(Response::new(self.node.status(request.into_inner()).await?))
     }
 
     async fn change_member(
--- /dev/null
+++ b/crates/control/src/status.rs
@@ -0,0 +1,100 @@
+//! The state as operators see it.
+
+use {
+    crate::{node::NodeError, view},
+    banyansill_core::{
+        cluster::{BrokerRef, ClusterState},
+        detector::LivenessTable,
+        names::SharedName,
+        promotion::{self, ChangeOutlook},
+        time::Micros,
+    },
+    banyansill_wire::v1,
+};
+
+/// Returns the whole state; positions and silences are known on the leader only.
+pub(crate) fn reply(
+    state: &ClusterState,
+    table: Option<&LivenessTable>,
+    outlook_of: &str,
+    now: Micros,
+) -> Result<v1::StatusReply, NodeError> {
+    let mut databases = Vec::new();
+    for (name, group) in state.databases() {
+        let mut database = view::database_view(state, name, group);
+        if let Some(table) = table {
+            add_positions(table, name, &mut database);
+        }
+        databases.push(database);
+    }
+    let mut entries = Vec::new();
+    for (host, record) in state.entries() {
+        let holder = BrokerRef { host: host.clone(), incarnation: record.info.incarnation };
+        let seen = table.and_then(|table| table.entry(&holder, now)).unwrap_or_default();
+        entries.push(v1::EntryStatus {
+            entry: Some(view::entry_view(record)),
+            sheet_number: seen.sheet_number,
+            applied_version: seen.applied_version,
+            silent_ms: u32::try_from(seen.silent.as_millis()).unwrap_or(u32::MAX),
+            live: record.live,
+        });
+    }
+    let outlook = match table {
+        _ if outlook_of.is_empty() => None,
+        Some(table) => Some(outlook(state, table, outlook_of, now)?),
+        None => return Err(NodeError::Busy("the leader has just begun to observe".to_owned())),
+    };
+    Ok(v1::StatusReply {
+        version: state.version(),
+        databases,
+        sheet: view::sheet_view(state),
+        entries,
+        outlook,
+        ..v1::StatusReply::default()
+    })
+}
+
+fn add_positions(table: &LivenessTable, name: &SharedName, database: &mut v1::DatabaseView) {
+    for server in &mut database.servers {
+        let Some(announcement) = &mut server.announcement else { continue };
+        let key = (name.clone(), announcement.server.as_str().into());
+        let Some((_, heard)) = table.announcement(&key) else { continue };
+        announcement.position = Some(heard.position.into());
+        announcement.term = heard.term;
+    }
+}
+
+fn outlook(
+    state: &ClusterState,
+    table: &LivenessTable,
+    database: &str,
+    now: Micros,
+) -> Result<v1::PromotionOutlook, NodeError> {
+    let Some((name, group)) = state.databases().get_key_value(database) else {
+        return Err(NodeError::Invalid(format!("unknown database {database:?}")));
+    };
+    let required = promotion::required_answers(group.targets.len());
+    let mut reply = v1::PromotionOutlook {
+        required: u32::try_from(required).unwrap_or(u32::MAX),
+        ..v1::PromotionOutlook::default()
+    };
+    // Announcements of the last second; a real change waits for positions after the fence.
+    let since = Micros(now.0.saturating_sub(Micros::from_secs(1).0));
+    match promotion::outlook(state, table, name, group, since, now) {
+        ChangeOutlook::Candidate(candidate) => {
+            reply.answers = reply.required;
+            reply.candidate = candidate.server.to_string();
+            reply.position = Some(candidate.position.into());
+            reply.detail = "has the highest position".to_owned();
+        }
+        ChangeOutlook::TooFewAnswers { answers, .. } => {
+            reply.answers = u32::try_from(answers).unwrap_or(u32::MAX);
+            reply.detail = "too few servers answer".to_owned();
+        }
+        ChangeOutlook::CatchingUp => {
+            reply.answers = reply.required;
+            reply.detail = "the remaining servers must catch up first".to_owned();
+        }
+    }
+    Ok(reply)
+}
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -18,8 +18,12 @@
 const GROUPS_PER_REPLY: usize = 1_000;
 
 /// Sends the changes after `since` until the watcher leaves or the replica stops.
-pub async fn run<L>(log: L, mut since: u64, replies: mpsc::Sender<Result<v1::WatchReply, Status>>)
-where
+pub async fn run<L>(
+    log: L,
+    mut since: u64,
+    replies: mpsc::Sender<Result<v1::WatchReply, Status>>,
+    mut stopping: watch::Receiver<bool>,
+) where
     L: CommandLog<Machine = ClusterState>,
 {
     let mut status: watch::Receiver<LogStatus> = log.status();
@@ -49,6 +53,7 @@
                 }
             }
             () = replies.closed() => return,
+            _ = stopping.wait_for(|stop| *stop) => return,
         }
     }
 }
--- a/crates/control/tests/service_basic.rs
+++ b/crates/control/tests/service_basic.rs
@@ -11,7 +11,7 @@
 };
 
 async fn database(client: &ControlClient<Channel>) -> Option<v1::DatabaseView> {
-    let reply = client.clone().status(v1::StatusRequest {}).await.unwrap().into_inner();
+    let reply = client.clone().status(v1::StatusRequest::default()).await.unwrap().into_inner();
     reply.databases.into_iter().next()
 }
 
