--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -114,6 +114,18 @@
 /// Returns an error if a listener, the data folder or the token file cannot be opened.
 pub async fn spawn(settings: ControlSettings) -> Result<ControlHandle, SpawnError> {
     let listener = listen(settings.listen).await?;
+    spawn_on(settings, listener).await
+}
+
+/// Starts a control replica on a tonic listener that is already open.
+///
+/// # Errors
+///
+/// Returns an error if the HTTP listener, the data folder or the token file cannot be opened.
+pub async fn spawn_on(
+    settings: ControlSettings,
+    listener: TcpListener,
+) -> Result<ControlHandle, SpawnError> {
     let address = advertised(&settings, &listener)?;
     let events = EventSink::new(settings.host.clone());
     let Some(folder) = settings.data.clone() else {
