--- a/crates/control/src/admin/body.rs
+++ b/crates/control/src/admin/body.rs
@@ -40,6 +40,7 @@
     let detail = error.to_string();
     match error {
         NodeError::Invalid(_) => ErrorBody::new("invalid", detail).reply(StatusCode::BAD_REQUEST),
+        NodeError::Busy(_) => ErrorBody::new("busy", detail).reply(StatusCode::SERVICE_UNAVAILABLE),
         NodeError::Rejected(_) => ErrorBody::new("rejected", detail).reply(StatusCode::CONFLICT),
         NodeError::Log(LogError::NotLeader { leader }) => {
             let mut body = ErrorBody::new("not-leader", detail);
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -8,6 +8,7 @@
         leader,
         members::{MemberControl, SoloMembers},
         node::ControlNode,
+        replica::{InitialMember, ReplicaError, ReplicaHandle, ReplicaService, ReplicaSettings},
         service::ControlService,
         settings::ControlSettings,
         solo_log::SoloLog,
@@ -18,7 +19,7 @@
     banyansill_runtime::{events::EventSink, server::ServerHandle},
     banyansill_wire::v1::control_server::ControlServer,
     miette::Diagnostic,
-    std::{io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, path::PathBuf, time::Duration},
     thiserror::Error,
     tokio::{net::TcpListener, sync::watch, task::JoinHandle, time},
     tonic::transport::{Server, server::TcpIncoming},
@@ -28,6 +29,9 @@
 const MESSAGE_LIMIT: usize = SHEET_LIMIT + 64 * 1024;
 
 /// Time that open requests have to finish when the process stops.
+const REQUEST_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time that open streams have to finish after that.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
 /// A control replica that cannot be started.
@@ -42,6 +46,10 @@
         /// What the system reported.
         source: io::Error,
     },
+    /// The replicated log cannot be opened.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Replica(#[from] ReplicaError),
     /// The HTTP server cannot be started.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -60,6 +68,7 @@
     service: JoinHandle<()>,
     leader: JoinHandle<()>,
     admin: ServerHandle,
+    replica: Option<ReplicaHandle<ClusterState>>,
 }
 
 impl ControlHandle {
@@ -80,28 +89,83 @@
         let fields = [("binary", "banyansill-control".to_owned())];
         self.events.record(EventNumber::ProcessStopping, &fields);
         let _ = self.stop.send(true);
-        if time::timeout(STOP_LIMIT, &mut self.service).await.is_err() {
+        // The streams of other replicas end only when this replica stops.
+        let mut finished = time::timeout(REQUEST_LIMIT, &mut self.service).await.is_ok();
+        self.leader.abort();
+        if let Some(replica) = &self.replica {
+            replica.stop().await;
+        }
+        if !finished {
+            finished = time::timeout(STOP_LIMIT, &mut self.service).await.is_ok();
+        }
+        if !finished {
             self.service.abort();
         }
-        self.leader.abort();
         self.admin.stop(true).await;
         self.events.record(EventNumber::ProcessStopped, &fields);
         log::info!("control {} stopped", self.host);
     }
 }
 
-/// Starts a control replica whose state is kept in memory.
+/// Starts a control replica on the data folder of its settings, or in memory without one.
 ///
 /// # Errors
 ///
-/// Returns an error if a listener cannot be opened or the token file is not valid.
+/// Returns an error if a listener, the data folder or the token file cannot be opened.
 pub async fn spawn(settings: ControlSettings) -> Result<ControlHandle, SpawnError> {
-    log::warn!("the state is kept in memory only and ends with the process");
     let listener = listen(settings.listen).await?;
+    spawn_on(settings, listener).await
+}
+
+/// Starts a control replica on a tonic listener that is already open.
+///
+/// # Errors
+///
+/// Returns an error if the HTTP listener, the data folder or the token file cannot be opened.
+pub async fn spawn_on(
+    settings: ControlSettings,
+    listener: TcpListener,
+) -> Result<ControlHandle, SpawnError> {
     let address = advertised(&settings, &listener)?;
-    let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
-    let members = SoloMembers { host: settings.host.clone(), address };
-    spawn_with(settings, listener, log, members).await
+    let events = EventSink::new(settings.host.clone());
+    let Some(folder) = settings.data.clone() else {
+        log::warn!("no data folder: the state is kept in memory and ends with the process");
+        let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
+        let members = SoloMembers { host: settings.host.clone(), address };
+        return spawn_with(settings, listener, events, (log, members), None).await;
+    };
+    let replica = replica_settings(&settings, address, folder);
+    let replica = ReplicaHandle::spawn(replica, ClusterState::default(), events.clone())?;
+    let service = replica.service();
+    let result =
+        spawn_with(settings, listener, events, (replica.clone(), replica.clone()), Some(service));
+    match result.await {
+        Ok(mut handle) => {
+            handle.replica = Some(replica);
+            Ok(handle)
+        }
+        Err(error) => {
+            replica.stop().await;
+            Err(error)
+        }
+    }
+}
+
+fn replica_settings(
+    settings: &ControlSettings,
+    address: String,
+    folder: PathBuf,
+) -> ReplicaSettings {
+    let mut replica = ReplicaSettings::single(settings.host.clone(), address.into(), folder);
+    replica.join = settings.join;
+    if !settings.replicas.is_empty() {
+        replica.initial_members.clear();
+        for peer in &settings.replicas {
+            let address = peer.address.to_string().into();
+            replica.initial_members.push(InitialMember { host: peer.host.clone(), address });
+        }
+    }
+    replica
 }
 
 /// Opens the tonic listener.
@@ -128,14 +192,14 @@
 pub async fn spawn_with<L, M>(
     settings: ControlSettings,
     listener: TcpListener,
-    log: L,
-    members: M,
+    events: EventSink,
+    (log, members): (L, M),
+    replica: Option<ReplicaService<ClusterState>>,
 ) -> Result<ControlHandle, SpawnError>
 where
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
-    let events = EventSink::new(settings.host.clone());
     let tokens = match &settings.tokens {
         Some(path) => TokenTable::load(path)?,
         None => TokenTable::default(),
@@ -148,14 +212,15 @@
     let (http, admin) = admin::spawn(settings.http, node.clone(), client.clone(), tokens).await?;
     let leader = tokio::spawn(leader::run(node.clone()));
     let (stop, mut stopping) = watch::channel(false);
-    let service = ControlServer::new(ControlService::new(node, client))
+    let service = ControlServer::new(ControlService::new(node, client, stopping.clone()))
         .max_decoding_message_size(MESSAGE_LIMIT);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let service = tokio::spawn(async move {
         let stopped = async move {
             let _ = stopping.wait_for(|stop| *stop).await;
         };
-        let server = Server::builder().add_service(service);
+        let replica = replica.map(ReplicaService::into_server);
+        let server = Server::builder().add_service(service).add_optional_service(replica);
         if let Err(error) = server.serve_with_incoming_shutdown(incoming, stopped).await {
             log::error!("control service: {error}");
         }
@@ -163,5 +228,6 @@
     let fields = [("binary", "banyansill-control".to_owned()), ("address", address.to_string())];
     events.record(EventNumber::ProcessReady, &fields);
     let host = settings.host;
-    Ok(ControlHandle { host, address, http, events, stop, service, leader, admin })
+    let replica = None;
+    Ok(ControlHandle { host, address, http, events, stop, service, leader, admin, replica })
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -10,7 +10,7 @@
     },
     banyansill_core::cluster::ClusterState,
     banyansill_wire::v1::{self, control_server::Control},
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, watch::Receiver},
     tokio_stream::wrappers::ReceiverStream,
     tonic::{Code, Request, Response, Status, metadata::MetadataValue},
 };
@@ -23,13 +23,18 @@
 pub struct ControlService<L, M> {
     node: ControlNode<L, M>,
     client: LeaderClient,
+    stopping: Receiver<bool>,
 }
 
 impl<L, M> ControlService<L, M> {
-    /// Creates the service of a node.
+    /// Creates the service of a node; its streams end when `stopping` becomes true.
     #[must_use]
-    pub const fn new(node: ControlNode<L, M>, client: LeaderClient) -> Self {
-        Self { node, client }
+    pub const fn new(
+        node: ControlNode<L, M>,
+        client: LeaderClient,
+        stopping: Receiver<bool>,
+    ) -> Self {
+        Self { node, client, stopping }
     }
 }
 
@@ -38,6 +43,7 @@
         let text = error.to_string();
         match error {
             NodeError::Invalid(_) => Self::invalid_argument(text),
+            NodeError::Busy(_) => Self::aborted(text),
             NodeError::Rejected(_) => Self::failed_precondition(text),
             NodeError::Log(LogError::NotLeader { leader }) => {
                 let mut status = Self::unavailable(text);
@@ -74,7 +80,8 @@
     ) -> Result<Response<Self::WatchStream>, Status> {
         let (sender, receiver) = mpsc::channel(watch::WATCH_DEPTH);
         let since = request.into_inner().since_version;
-        tokio::spawn(watch::run(self.node.log.clone(), since, sender));
+        let (log, stopping) = (self.node.log.clone(), self.stopping.clone());
+        tokio::spawn(watch::run(log, since, sender, stopping));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -137,9 +144,9 @@
 
     async fn status(
         &self,
-        _request: Request<v1::StatusRequest>,
+        request: Request<v1::StatusRequest>,
     ) -> Result<Response<v1::StatusReply>, Status> {
-        Ok(Response::new(self.node.status().await?))
+        Ok(Response::new(self.node.status(request.into_inner()).await?))
     }
 
     async fn change_member(
@@ -148,8 +155,7 @@
     ) -> Result<Response<v1::MemberReply>, Status> {
         let request = request.into_inner();
         let (host, address) = (request.host.as_str().into(), request.address);
-        let changed = self.node.members.change_member(host, address, request.add).await;
-        let detail = changed.map_err(NodeError::Log)?;
+        let detail = self.node.members.change_member(host, address, request.add).await?;
         Ok(Response::new(v1::MemberReply { done: true, detail }))
     }
 }
--- a/crates/entry/tests/broker_grants.rs
+++ b/crates/entry/tests/broker_grants.rs
@@ -1,5 +1,7 @@
 //! Grants on one target: answers, transactions, statements, reuse and cancels.
 
+#![allow(clippy::unwrap_used)]
+
 mod broker_support;
 
 use {
