--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -1,4 +1,17 @@
 //! Settings of one server.
+//!
+//! ```json
+//! {
+//!     "database": "hamper", "server": "hamper-2",
+//!     "listen": "127.0.0.1:5002", "replication_listen": "127.0.0.1:6002",
+//!     "region": "red-river", "zone": "selkirk-yard",
+//!     "role": "replica", "follow": "127.0.0.1:6001", "term": 1,
+//!     "slots": 5, "connections": 70, "connection_cost_ms": 12, "statement_cost_us": 0,
+//!     "lag_ms": 200, "log_entries": 50000, "leave_ms": 3000,
+//!     "control": ["127.0.0.1:7001", "127.0.0.1:7002"],
+//!     "log": "info"
+//! }
+//! ```
 
 use {
     banyansill_core::names::SharedName,
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -251,3 +251,24 @@
         server.kill().await;
     }
 }
+
+/// Guards against a frozen server that still takes part in its group, or does not recover.
+#[tokio::test]
+async fn frozen_server_stands_still_and_recovers() {
+    let first = primary().await;
+    let second = replica_of(&first).await;
+    let (writer, reader) = (connect(&first).await, connect(&second).await);
+    writer.batch_execute("CREATE TABLE t (id int)").await.unwrap();
+    eventually("replicated", || async { second.position() == first.position() }).await;
+    second.set_frozen(true);
+    let before = second.position();
+    writer.batch_execute("INSERT INTO t VALUES (1)").await.unwrap();
+    let read = reader.simple_query("SELECT id FROM t");
+    assert!(tokio::time::timeout(Duration::from_millis(300), read).await.is_err());
+    assert_eq!(second.position(), before);
+    second.set_frozen(false);
+    eventually("caught up", || async { second.position() == first.position() }).await;
+    assert_eq!(rows(&reader, "SELECT id FROM t").await, ["1"]);
+    second.kill().await;
+    first.kill().await;
+}
