feat(standin): find the rows of an IN list by the key

Cause: WHERE id IN (...) read the whole table, and freshness marks piled up behind a long lag. Change: a list of fixed values on a single-column key is looked up in its index; marks closer than 10 ms are left out, since a later one follows.

--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -10,6 +10,9 @@
     std::{collections::VecDeque, net::SocketAddr, sync::Arc},
 };
 
+/// Smallest distance of the freshness marks that wait for their lag.
+const MARK_SPACING_MS: u64 = 10;
+
 /// Role of a server in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GroupRole {
@@ -379,6 +382,10 @@
 
     /// Records that at the primary's time `stamp` its log ended at `offset`.
     pub fn receive_mark(&mut self, stamp: u64, offset: u64) {
+        // Marks that come with every commit would pile up behind a long lag; a later one follows.
+        if self.marks.back().is_some_and(|(last, _)| stamp < last + MARK_SPACING_MS) {
+            return;
+        }
         self.marks.push_back((stamp, offset));
     }
 
--- a/crates/standin/src/sql/cursor.rs
+++ b/crates/standin/src/sql/cursor.rs
@@ -78,22 +78,25 @@
             batch: VecDeque::new(),
         };
         let Some(lookup) = &filter.lookup else { return Ok(scan) };
-        let mut values = Vec::with_capacity(lookup.key.len());
-        for expression in &lookup.key {
-            values.push(evaluate(expression, &[], context)?);
-        }
-        let key = IndexKey(values);
         let mut found = Vec::new();
-        if !key.0.iter().any(Value::is_null) {
+        for expressions in &lookup.keys {
+            let mut values = Vec::with_capacity(expressions.len());
+            for expression in expressions {
+                values.push(evaluate(expression, &[], context)?);
+            }
+            let key = IndexKey(values);
+            if key.0.iter().any(Value::is_null) {
+                continue;
+            }
             if let Some(rows) = data.tables.get(&schema.id) {
                 found.extend_from_slice(rows.candidates(lookup.index, &key));
             }
             if let Some(own) = transaction.keys.get(&(schema.id, lookup.index, key)) {
                 found.push(*own);
             }
-            found.sort_unstable();
-            found.dedup();
         }
+        found.sort_unstable();
+        found.dedup();
         scan.found = Some(found.into());
         Ok(scan)
     }
--- a/crates/standin/src/sql/plan.rs
+++ b/crates/standin/src/sql/plan.rs
@@ -39,13 +39,13 @@
     Status,
 }
 
-/// Unique index and the expressions whose values are the key of the only row that can match.
+/// Unique index and the expressions whose values are the keys of the only rows that can match.
 #[derive(Clone, Debug)]
 pub struct IndexLookup {
     /// Index of the unique constraint.
     pub index: usize,
-    /// One expression for each column of the constraint.
-    pub key: Vec<BoundExpression>,
+    /// Keys with one expression for each column of the constraint.
+    pub keys: Vec<Vec<BoundExpression>>,
 }
 
 /// Condition on the rows of a table.
--- a/crates/standin/src/sql/query.rs
+++ b/crates/standin/src/sql/query.rs
@@ -278,12 +278,39 @@
             key.push((*value).clone());
         }
         if key.len() == unique.columns.len() {
-            return Some(IndexLookup { index, key });
+            return Some(IndexLookup { index, keys: vec![key] });
         }
     }
+    for (index, unique) in schema.uniques.iter().enumerate() {
+        let [column] = unique.columns.as_slice() else { continue };
+        let Some(list) = find_list(condition, *column) else { continue };
+        let keys = list.iter().map(|value| vec![value.clone()]).collect();
+        return Some(IndexLookup { index, keys });
+    }
     None
 }
 
+/// Returns the list of a condition `column IN (...)` that every row has to meet.
+fn find_list(condition: &BoundExpression, column: usize) -> Option<&[BoundExpression]> {
+    match &condition.node {
+        ExpressionNode::And(left, right) => {
+            find_list(left, column).or_else(|| find_list(right, column))
+        }
+        ExpressionNode::In(operand, list)
+            if matches!(operand.node, ExpressionNode::Column(found) if found == column)
+                && list.iter().all(is_key) =>
+        {
+            Some(list)
+        }
+        _ => None,
+    }
+}
+
+/// Returns whether an expression can be a key; a fraction has to be compared with every row.
+fn is_key(value: &BoundExpression) -> bool {
+    value.is_fixed() && value.kind != ColumnType::Float8
+}
+
 fn collect_equalities<'a>(
     condition: &'a BoundExpression,
     found: &mut Vec<(usize, &'a BoundExpression)>,
@@ -296,8 +323,7 @@
         ExpressionNode::Compare(CompareOperator::Equal, left, right) => {
             for (column, value) in [(left, right), (right, left)] {
                 let ExpressionNode::Column(index) = column.node else { continue };
-                // A fraction never equals an index key by its bits, so it needs a scan.
-                if value.is_fixed() && value.kind != ColumnType::Float8 {
+                if is_key(value) {
                     found.push((index, value));
                 }
             }
