--- a/crates/testkit/src/history.rs
+++ b/crates/testkit/src/history.rs
@@ -31,6 +31,11 @@
         /// What the caller was told.
         outcome: WriteOutcome,
     },
+    /// The caller connected again, possibly to another entry.
+    ///
+    /// Acknowledged writes must still be seen. Rows of others' writes that were never acknowledged may
+    /// be gone if a promotion happened in between.
+    Reconnected,
     /// A read that was answered.
     Read {
         /// Token that the request asked to have echoed.
@@ -186,6 +191,7 @@
                     _ => {}
                 }
             }
+            HistoryStep::Reconnected => read.clear(),
             HistoryStep::Read { asked, echoed, seen, announced, received } => {
                 if asked != echoed {
                     let (asked, echoed) = (*asked, *echoed);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod history;
 pub mod process;
 pub mod proxy;
+pub mod workload;
