fix(testkit): wait for a process without blocking the runtime

Cause: rolling_restart_cuts_off_no_request blocked the thread that carries the fault proxies, so all targets looked unreachable; ruled out: a fault of the brokers' handover. Change: the wait is asynchronous and the tests use two worker threads.

--- a/crates/banyansill/tests/entries.rs
+++ b/crates/banyansill/tests/entries.rs
@@ -44,7 +44,7 @@
 }
 
 /// Guards against a repeated, lost or half-done order when an entry and its brokers die.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn killed_entries_lose_nothing() {
     let mut cluster = cluster(3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 11);
@@ -60,7 +60,7 @@
 }
 
 /// Guards against an acknowledgement after a pause that outlasted the lease.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_entries_acknowledge_nothing_late() {
     let cluster = cluster(3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 12);
@@ -76,14 +76,14 @@
 }
 
 /// Guards against a planned stop that cuts off requests.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn rolling_restart_cuts_off_no_request() {
     let mut cluster = cluster(3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 13);
     for entry in 0..3 {
         sleep(Duration::from_secs(1)).await;
         cluster.entries[entry].process.terminate().unwrap();
-        let status = cluster.entries[entry].process.wait(Duration::from_secs(20)).unwrap();
+        let status = cluster.entries[entry].process.wait(Duration::from_secs(20)).await.unwrap();
         assert!(status.success(), "{status}");
         cluster.restart_entry(entry).unwrap();
         cluster.wait_serving(entry).await.unwrap();
--- a/crates/banyansill/tests/failover.rs
+++ b/crates/banyansill/tests/failover.rs
@@ -65,7 +65,7 @@
 }
 
 /// Guards against a lost or repeated order, and against a gap above the limit, when a primary dies.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn killed_primary_is_replaced() {
     let mut cluster = cluster(1, 3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 1);
@@ -80,7 +80,7 @@
 
 /// Guards against an acknowledgement by a primary that was cut off and replaced, and against a
 /// returning primary that does not follow the new one.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn partitioned_primary_is_fenced_and_follows() {
     let cluster = cluster(1, 3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 2);
@@ -110,7 +110,7 @@
 }
 
 /// Guards against lost orders when the new primary dies soon after the first one.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn second_primary_dies_after_the_first_returned() {
     let cluster = cluster(1, 3).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, 3);
--- a/crates/banyansill/tests/sessions.rs
+++ b/crates/banyansill/tests/sessions.rs
@@ -14,7 +14,7 @@
 }
 
 /// Guards against a read that goes to a replica which has not replayed the session's own write.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_sees_its_write_under_lag() {
     let cluster = lagging().await;
     let caller = cluster.caller(0, "coordinator").await.unwrap();
@@ -29,7 +29,7 @@
 }
 
 /// Guards against a floor that is forgotten when the caller reconnects to another entry.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_sees_its_write_after_reconnecting_elsewhere() {
     let cluster = lagging().await;
     let caller = cluster.caller(0, "coordinator").await.unwrap();
@@ -46,7 +46,7 @@
 }
 
 /// Guards against a kind with `ack` = `replica` that waits for replay instead of receipt.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn confirmed_order_does_not_wait_for_replay() {
     let cluster = lagging().await;
     let caller = cluster.caller(0, "coordinator").await.unwrap();
@@ -59,7 +59,7 @@
 }
 
 /// Guards against reads that all go to the primary, and against a replica read that is made up.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn old_enough_reads_go_to_replicas_and_show_older_data() {
     let cluster = lagging().await;
     let writer = cluster.caller(0, "coordinator").await.unwrap();
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -24,6 +24,9 @@
 /// Interval at which a wait looks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Environment variable that keeps the folder with settings, data and logs after a test.
+const KEEP_VARIABLE: &str = "BANYANSILL_KEEP";
+
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
 pub struct ClusterPlan {
@@ -127,7 +130,11 @@
     ///
     /// Returns an error if a process cannot be started or the cluster is not ready in time.
     pub async fn spawn(plan: ClusterPlan) -> io::Result<Self> {
-        let folder = tempfile::tempdir()?;
+        let mut folder = tempfile::tempdir()?;
+        if std::env::var_os(KEEP_VARIABLE).is_some() {
+            folder.disable_cleanup(true);
+            println!("settings, data and logs in {}", folder.path().display());
+        }
         let controls = spawn_controls(folder.path(), plan.controls)?;
         let targets = spawn_targets(folder.path(), &plan, &controls).await?;
         let entries = spawn_entries(folder.path(), plan.entries, &controls)?;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -11,9 +11,9 @@
         net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
-        thread,
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// Interval at which a wait looks again.
@@ -95,7 +95,7 @@
     /// # Errors
     ///
     /// Returns an error if it does not end within `limit`.
-    pub fn wait(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+    pub async fn wait(&mut self, limit: Duration) -> io::Result<ExitStatus> {
         let end = Instant::now() + limit;
         loop {
             if let Some(status) = self.child.try_wait()? {
@@ -104,7 +104,7 @@
             if Instant::now() > end {
                 return Err(io::Error::new(io::ErrorKind::TimedOut, "process still runs"));
             }
-            thread::sleep(POLL_INTERVAL);
+            sleep(POLL_INTERVAL).await;
         }
     }
 
