--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -153,16 +153,19 @@
                 Ok(Ok(()))
             }
             ExchangeEnd::Failed { failure, refused, .. } => {
+                let summary = &request.summary;
+                // A rollback whose answer is lost has rolled back all the same.
+                let uncommitted = in_transaction && (!summary.ends || summary.rollback);
+                let lost = uncommitted && !refused;
+                let kind = if lost { FailureKind::TransactionLost } else { failure.kind };
                 if pinned {
                     log::debug!("a pinned session lost its grant: {}", failure.detail);
                     let detail = "the connection that held the session's state is gone";
-                    return Err(SessionEnd::Failure(failure.kind, detail));
+                    return Err(SessionEnd::Failure(kind, detail));
                 }
-                if request.summary.closes {
+                if summary.closes {
                     self.state = TransactionState::Idle;
                 }
-                let before_commit = in_transaction && !refused && !request.summary.ends;
-                let kind = if before_commit { FailureKind::TransactionLost } else { failure.kind };
                 Ok(Err(LinkFailure { kind, ..failure }))
             }
         }
@@ -345,7 +348,9 @@
         let (kind, rule) = self.rule(&table, summary)?;
         if !write && rule.targets != RuleTargets::Primary && !self.floor.is_known() {
             let mark = self.shared.router.high_water_mark(&database);
-            if let Ok(Ok(mark)) = timeout(MARK_TIMEOUT, mark).await {
+            // The rest of the deadline is for the read, on the primary if need be.
+            let patience = MARK_TIMEOUT.min(rule.deadline.as_duration() / 2);
+            if let Ok(Ok(mark)) = timeout(patience, mark).await {
                 self.floor.learn(mark);
             }
             // The lease and the routes may have changed during the wait.
--- a/crates/entry/tests/session_routing.rs
+++ b/crates/entry/tests/session_routing.rs
@@ -3,9 +3,15 @@
 mod support;
 
 use {
-    banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
+    banyansill_core::{
+        failure::FailureKind,
+        position::{LogPosition, LogTerm},
+        route::TermStart,
+        time::Micros,
+    },
     banyansill_entry::link::GrantAccess,
-    support::{Act, Bench, Seen, texts},
+    std::sync::Arc,
+    support::{Act, Bench, DATABASE, Seen, texts},
     tokio_postgres::SimpleQueryMessage,
 };
 
@@ -130,7 +136,7 @@
     let unknown_kind = served_by(&client, "/* kind=nothing */ SELECT 1").await;
     assert_eq!(unknown_kind, Err("42501 not-allowed".to_owned()));
     let table = bench.routes.borrow().clone();
-    bench.routes.send_replace(std::sync::Arc::new(banyansill_core::route::RouteTable {
+    bench.routes.send_replace(Arc::new(banyansill_core::route::RouteTable {
         sheet: None,
         ..(*table).clone()
     }));
@@ -222,3 +228,26 @@
     let error = config.connect(tokio_postgres::NoTls).await.err().unwrap();
     assert_eq!(error.code().unwrap().code(), "0A000");
 }
+
+// Guards against an older answer after a promotion that lost what the session wrote.
+#[tokio::test]
+async fn lost_history_is_refused() {
+    let bench = Bench::open().await;
+    let client = bench.connect().await;
+    bench.router.set_position("p", 3, 250);
+    served_by(&client, "INSERT INTO t VALUES (1)").await.unwrap();
+    let table = bench.routes.borrow().clone();
+    let mut promoted = (*table).clone();
+    let mut route = (*table.databases[DATABASE]).clone();
+    route.term = LogTerm(4);
+    route.history = vec![TermStart { term: LogTerm(4), start: LogPosition::new(3, 249) }];
+    promoted.databases.insert(DATABASE.into(), Arc::new(route));
+    bench.routes.send_replace(Arc::new(promoted));
+    let lost = Err("72000 history-lost".to_owned());
+    assert_eq!(served_by(&client, "SELECT 1").await, lost);
+    assert_eq!(served_by(&client, "INSERT INTO t VALUES (2)").await, lost);
+    assert_eq!(bench.router.servers(), ["p"]);
+    bench.router.set_mark(4, 260);
+    let again = bench.connect().await;
+    assert_eq!(served_by(&again, "SELECT 1").await, Ok("near".to_owned()));
+}
--- a/crates/entry/tests/session_transactions.rs
+++ b/crates/entry/tests/session_transactions.rs
@@ -89,6 +89,11 @@
     let lost = caller.query("COMMIT").await;
     assert!(lost[0].contains("C40003") && lost[0].contains("primary-replaced"), "{lost:?}");
     assert_eq!(lost[1], "ZI");
+    bench.router.act("p", Act::LoseSecond(FailureKind::ConnectionLost));
+    caller.query("BEGIN").await;
+    caller.query("INSERT INTO t VALUES (1)").await;
+    let rolled_back = caller.query("ROLLBACK").await;
+    assert!(rolled_back[0].contains("transaction-lost") && rolled_back[1] == "ZI");
 }
 
 // Guards against a transaction that fails although only its BEGIN was sent.
