--- a/crates/core/tests/consensus_cases.rs
+++ b/crates/core/tests/consensus_cases.rs
@@ -200,6 +200,89 @@
     assert!(sent(&outputs).is_empty());
 }
 
+/// Guards against a pause that counts as contact because old answers are read after it.
+#[test]
+fn contact_counts_from_the_send_time_of_the_round() {
+    let mut lab = Lab::elected(vec![restored(3, &[]); 3]);
+    let reply =
+        MessageBody::AppendReply { success: true, match_index: 2, conflict_index: 0, round: 1 };
+    // Answers to the first round, which wait until the leader's contact has almost expired.
+    let pause = Micros(ELECTION_MAX.0 - 2 * STEP.0);
+    let leader = &mut lab.machines[0];
+    let term = leader.hard_state().term;
+    for from in [2, 3] {
+        leader.step(lab.now + pause, message(from, 1, term, reply.clone()));
+    }
+    leader.step(lab.now + ELECTION_MAX + STEP, LogInput::Tick { random: 0 });
+    assert!(!leader.is_leading());
+}
+
+/// Guards against a leader that counts its own entries before they are synced, and against reads
+/// that a new leader serves before it knows what is committed.
+#[test]
+fn commit_and_reads_wait_for_the_own_sync() {
+    let mut machine = LogMachine::new(ReplicaIdentity(1), restored(3, &[1]), Micros::ZERO, 0);
+    let now = ELECTION_MIN;
+    machine.step(now, LogInput::Tick { random: 0 });
+    let granted = |pre_vote| MessageBody::VoteReply { pre_vote, granted: true };
+    machine.step(now, message(2, 1, 2, granted(true)));
+    machine.step(now, LogInput::Synced { sequence: 1 });
+    machine.step(now, message(2, 1, 2, granted(false)));
+    assert!(machine.is_leading());
+    let mut outputs = machine.step(now, LogInput::Confirm { ticket: 1 });
+    for (match_index, round) in [(2, 1), (2, 2), (2, 9), (3, 1)] {
+        let body =
+            MessageBody::AppendReply { success: true, match_index, conflict_index: 0, round };
+        outputs.extend(machine.step(now, message(2, 1, 2, body)));
+    }
+    assert_eq!(machine.commit_index(), 0, "the majority includes this replica's own disk");
+    outputs.extend(machine.step(now, LogInput::Synced { sequence: 2 }));
+    assert_eq!(machine.commit_index(), 3);
+    let confirmed = |output: &LogOutput| matches!(output, LogOutput::Confirmed { .. });
+    assert!(!outputs.iter().any(confirmed), "the read's round has not been answered");
+    let body =
+        MessageBody::AppendReply { success: true, match_index: 3, conflict_index: 0, round: 2 };
+    assert!(machine.step(now, message(2, 1, 2, body)).iter().any(confirmed));
+}
+
+/// Guards against replaced entries that still count as synced.
+#[test]
+fn replaced_entries_are_reported_after_their_own_sync() {
+    let log = restored(3, &[2, 2, 2, 2]);
+    let mut machine = LogMachine::new(ReplicaIdentity(2), log, Micros::ZERO, 0);
+    let entry = |index| LogEntry { term: 3, index, payload: command("new") };
+    let entries = vec![entry(3), entry(4)];
+    machine.step(STEP, message(1, 2, 3, heartbeat((2, 2), entries)));
+    machine.step(STEP, LogInput::Synced { sequence: 1 });
+    let outputs = machine.step(STEP, message(1, 2, 3, heartbeat((4, 3), vec![])));
+    assert!(matches!(sent(&outputs)[..], [MessageBody::AppendReply { match_index: 2, .. }]));
+    let outputs = machine.step(STEP, LogInput::Synced { sequence: 3 });
+    assert!(matches!(sent(&outputs)[..], [MessageBody::AppendReply { match_index: 4, .. }]));
+}
+
+/// Guards against a vote for a candidate whose log lacks committed entries, and against a vote
+/// while a leader works.
+#[test]
+fn votes_need_a_complete_log_and_a_silent_leader() {
+    let granted = |now: Micros, last_index, last_term, heard: bool| {
+        let log = restored(3, &[2, 2]);
+        let mut machine = LogMachine::new(ReplicaIdentity(2), log, Micros::ZERO, 0);
+        if heard {
+            machine.step(Micros::ZERO, message(3, 2, 2, heartbeat((3, 2), vec![])));
+        }
+        let request = MessageBody::VoteRequest { pre_vote: false, last_index, last_term };
+        let mut outputs = machine.step(now, message(1, 2, 3, request));
+        outputs.extend(machine.step(now, LogInput::Synced { sequence: 2 }));
+        let vote = MessageBody::VoteReply { pre_vote: false, granted: true };
+        sent(&outputs).contains(&&vote)
+    };
+    assert!(granted(STEP, 3, 2, false));
+    assert!(!granted(STEP, 2, 2, false), "shorter log");
+    assert!(!granted(STEP, 9, 1, false), "older last term");
+    assert!(!granted(STEP, 3, 2, true), "leader heard just now");
+    assert!(granted(ELECTION_MIN + STEP, 3, 2, true));
+}
+
 /// Guards against a candidate that leads with votes that waited during a pause.
 #[test]
 fn paused_candidate_does_not_lead() {
--- a/crates/core/tests/consensus_schedules.rs
+++ b/crates/core/tests/consensus_schedules.rs
@@ -106,15 +106,22 @@
     require_violation(Schedule { fault: DiskFault::KeepIdentity, ..STORMY });
 }
 
-/// Requires that a seed loses a committed entry, which is what both planted faults must lead to.
+/// Requires that two seeds lose a committed entry, which is what both planted faults must lead to.
+///
+/// About one seed in seven does so; with fewer seeds a change of the machine's messages alone could
+/// make the test fail.
 fn require_violation(schedule: Schedule) {
+    let mut found = 0;
     for seed in 0..60 {
         let simulation = Simulation::new(Schedule { seed, ..schedule });
         let Err(text) = simulation.run() else { continue };
         println!("seed {seed}: {text}");
         if ["lacks entry", "short log", "two contents"].iter().any(|cause| text.contains(cause)) {
-            return;
+            found += 1;
+            if found == 2 {
+                return;
+            }
         }
     }
-    panic!("no seed found the planted fault");
+    panic!("{found} of 60 seeds found the planted fault");
 }
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -315,7 +315,12 @@
 
     fn schedule_disk(&mut self, host: usize) {
         let slow = self.chance(2);
-        let delay = self.random.random_range(if slow { 20_000..300_000 } else { 100..5_000 });
+        let delay = self.random.random_range(match self.schedule.fault {
+            // The content of a cache that is taken for the disk.
+            DiskFault::AnswerBeforeSync => 100_000..500_000,
+            _ if slow => 20_000..300_000,
+            _ => 100..5_000,
+        });
         let life = self.hosts[host].life;
         self.push(delay, Event::DiskDone { host, life });
     }
@@ -397,9 +402,15 @@
         let other = self.random.random_range(0..self.hosts.len());
         match self.random.random_range(0..4) {
             0 if self.schedule.crashes => {
-                self.crash(host);
-                let delay = self.random.random_range(10_000..6_000_000);
-                self.push(delay, Event::Restart { host });
+                // Sometimes the power fails everywhere.
+                let everywhere = self.chance(25);
+                for number in 0..self.hosts.len() {
+                    if everywhere || number == host {
+                        self.crash(number);
+                        let delay = self.random.random_range(10_000..6_000_000);
+                        self.push(delay, Event::Restart { host: number });
+                    }
+                }
             }
             1 if self.schedule.partitions && host != other => {
                 let both = self.chance(50);
