--- a/crates/entry/tests/broker_failover.rs
+++ b/crates/entry/tests/broker_failover.rs
@@ -1,5 +1,7 @@
 //! Brokers in front of a group of stand-in servers: read-your-writes and a change of primary.
 
+#![allow(clippy::unwrap_used, reason = "helpers outside test functions")]
+
 mod broker_support;
 
 use {
--- a/crates/entry/tests/broker_grants.rs
+++ b/crates/entry/tests/broker_grants.rs
@@ -1,5 +1,7 @@
 //! Grants on one target: answers, transactions, statements, reuse and cancels.
 
+#![allow(clippy::unwrap_used, reason = "helpers outside test functions")]
+
 mod broker_support;
 
 use {
@@ -201,20 +203,16 @@
         let (host, fake) = primary().await;
         let mut link = host.handle.open(write("p"));
         step(&mut link, "BEGIN").await;
-        let open = fake.lock().open;
+        // The pool is warm: the next set-up replaces the connection that was closed.
+        host.reported("p", |report| report.open_connections == 7).await;
+        let before = fake.lock().started;
         drop(link);
-        for _ in 0..50 {
-            sleep(Duration::from_millis(10)).await;
-            if fake.lock().started > open {
-                break;
-            }
-        }
-        assert!(fake.lock().started > open, "the connection was kept");
+        fake.until(|state| state.started > before).await;
         let mut link = host.handle.open(write("p"));
         step(&mut link, "SET").await;
         send(&link, LinkInput::Taint).await;
         send(&link, LinkInput::Release).await;
-        sleep(Duration::from_millis(100)).await;
+        host.quiet().await;
         assert_eq!(fake.count("DISCARD ALL"), 1);
     });
 }
--- a/crates/entry/tests/broker_remote.rs
+++ b/crates/entry/tests/broker_remote.rs
@@ -61,7 +61,7 @@
         step(&mut link, "SET").await;
         send(&link, LinkInput::Taint).await;
         send(&link, LinkInput::Release).await;
-        sleep(Duration::from_millis(100)).await;
+        hosts.far.quiet().await;
         assert_eq!(hosts.primary.count("DISCARD ALL"), 1);
     });
 }
--- a/crates/entry/tests/broker_support/fake.rs
+++ b/crates/entry/tests/broker_support/fake.rs
@@ -73,6 +73,16 @@
         self.state.lock().unwrap()
     }
 
+    /// Waits until the state is as `accept` asks for; the test's time limit bounds it.
+    pub async fn until<F>(&self, accept: F)
+    where
+        F: Fn(&FakeState) -> bool,
+    {
+        while !accept(&self.lock()) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     pub fn open(&self) -> u32 {
         self.lock().open
     }
