--- a/crates/entry/tests/broker_remote.rs
+++ b/crates/entry/tests/broker_remote.rs
@@ -1,16 +1,21 @@
 //! Grants and questions that cross hosts.
 
+#![allow(clippy::unwrap_used, reason = "helpers outside test functions")]
+
 mod broker_support;
 
 use {
     banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
     banyansill_entry::link::{GrantRouter, LinkInput},
     broker_support::{
-        Outcome, TestHost, fake::FakeTarget, name, once, read, run, send, step, table, target,
-        write,
+        Outcome, TestHost, fake::FakeTarget, name, once, outcome, read, run, send, step, table,
+        target, write,
     },
     std::time::Duration,
-    tokio::time::{Instant, sleep},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::{Instant, sleep},
+    },
 };
 
 struct TwoHosts {
@@ -111,3 +116,58 @@
         catch_up.await.unwrap();
     });
 }
+
+/// Relay whose open connections can be made silent while new ones work.
+async fn relay(address: String) -> (String, tokio::sync::watch::Sender<u32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let own = listener.local_addr().unwrap().to_string();
+    let (silenced, silence) = tokio::sync::watch::channel(0);
+    tokio::spawn(async move {
+        let mut number = 0;
+        while let Ok((mut near, _)) = listener.accept().await {
+            number += 1;
+            let (mut silence, address, number) = (silence.clone(), address.clone(), number);
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(address).await.unwrap();
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                let silent = async { silence.wait_for(|silent| *silent >= number).await.is_ok() };
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+                    _ = silent => {}
+                }
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    (own, silenced)
+}
+
+// Guards against callers who wait for a peer connection that has gone silent while new ones work.
+#[test]
+fn a_silent_peer_connection_is_replaced() {
+    run(async {
+        let hosts = two_hosts().await;
+        let (address, silenced) = relay(hosts.far.listen().await).await;
+        hosts.near.publish(table(vec![target("p", &hosts.primary, "far", &address)]));
+        let handle = &hosts.near.handle;
+        assert_eq!(once(handle, write("p"), "INSERT").await.tags(), "C");
+        let mut running = handle.open(write("p"));
+        send(&running, LinkInput::Data(broker_support::query("SLEEP 5000"))).await;
+        hosts.primary.until(|state| state.running == 1).await;
+        silenced.send_replace(1);
+        let begun = Instant::now();
+        let lost = outcome(&mut running).await;
+        assert_eq!(lost, Outcome::Lost(FailureKind::ConnectionLost));
+        assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+        assert_eq!(once(handle, write("p"), "INSERT").await.tags(), "C");
+        sleep(Duration::from_millis(450)).await;
+        silenced.send_replace(2);
+        let begun = Instant::now();
+        assert_eq!(once(handle, write("p"), "INSERT").await.tags(), "C");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+        silenced.send_replace(3);
+        let mark = handle.high_water_mark(&name("db")).await;
+        assert_eq!(mark, Ok(LogPosition::new(1, 13)));
+        assert_eq!(hosts.primary.count("INSERT"), 3, "each order ran once");
+    });
+}
