--- a/crates/entry/tests/broker_grants.rs
+++ b/crates/entry/tests/broker_grants.rs
@@ -1,6 +1,6 @@
 //! Grants on one target: answers, transactions, statements, reuse and cancels.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, reason = "helpers outside test functions")]
 
 mod broker_support;
 
@@ -195,28 +195,30 @@
     });
 }
 
-// Guards against a connection inside a transaction, or with a session's settings, that serves the
-// next caller.
+// Guards against a connection inside a transaction, with a session's settings or with a cancel
+// that may still arrive, that serves the next caller.
 #[test]
 fn only_clean_connections_are_reused() {
     run(async {
         let (host, fake) = primary().await;
         let mut link = host.handle.open(write("p"));
         step(&mut link, "BEGIN").await;
-        let open = fake.lock().open;
         drop(link);
-        for _ in 0..50 {
-            sleep(Duration::from_millis(10)).await;
-            if fake.lock().started > open {
-                break;
-            }
-        }
-        assert!(fake.lock().started > open, "the connection was kept");
+        fake.until(|state| state.log.iter().any(|line| line == "closed T")).await;
+        fake.lock().ignores_cancel = true;
+        let mut link = host.handle.open(write("p"));
+        send(&link, LinkInput::Data(broker_support::query("SLEEP 200"))).await;
+        fake.until(|state| state.running == 1).await;
+        send(&link, LinkInput::Cancel).await;
+        assert_eq!(outcome(&mut link).await.tags(), "C");
+        send(&link, LinkInput::Release).await;
+        // The cancel may still be on its way.
+        fake.until(|state| state.log.iter().any(|line| line == "closed I")).await;
         let mut link = host.handle.open(write("p"));
         step(&mut link, "SET").await;
         send(&link, LinkInput::Taint).await;
         send(&link, LinkInput::Release).await;
-        sleep(Duration::from_millis(100)).await;
+        host.quiet().await;
         assert_eq!(fake.count("DISCARD ALL"), 1);
     });
 }
--- a/crates/entry/tests/broker_support/fake.rs
+++ b/crates/entry/tests/broker_support/fake.rs
@@ -61,7 +61,9 @@
                     let mut session = session;
                     let _ = session.serve().await;
                     if session.counted {
-                        fake.lock().open -= 1;
+                        let mut state = fake.lock();
+                        state.open -= 1;
+                        state.log.push(format!("closed {}", char::from(session.status)));
                     }
                 });
             }
@@ -73,6 +75,16 @@
         self.state.lock().unwrap()
     }
 
+    /// Waits until the state is as `accept` asks for; the test's time limit bounds it.
+    pub async fn until<F>(&self, accept: F)
+    where
+        F: Fn(&FakeState) -> bool,
+    {
+        while !accept(&self.lock()) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     pub fn open(&self) -> u32 {
         self.lock().open
     }
