feat(control): bound planned closes and carry hybrid stamps

A planned close whose broker has not confirmed the fence within 10 s becomes an unplanned one. Before, the broker's entry lost its lease for all of its work because of one long write.

Heartbeats, their replies and watch replies carry the sender's hybrid stamp, so that the merged time line orders a cause before its effect on another host. A stamp more than 60 s ahead of the wall clock is not followed.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -99,6 +99,7 @@
     pub async fn heartbeat(&self, request: v1::HeartbeatRequest) -> v1::HeartbeatReply {
         let received = self.clock.now();
         let sequence = request.sequence;
+        view::observe_stamp(&self.events, request.stamp.as_ref());
         let mut reply = v1::HeartbeatReply { sequence, ..v1::HeartbeatReply::default() };
         if let Err(error) = self.renew(received, &request, &mut reply).await {
             reply.renewed = false;
@@ -107,6 +108,7 @@
                 reply.leader = leader.unwrap_or_default();
             }
         }
+        reply.stamp = Some(view::current_stamp(&self.events));
         reply
     }
 
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -81,7 +81,8 @@
         let (sender, receiver) = mpsc::channel(watch::WATCH_DEPTH);
         let since = request.into_inner().since_version;
         let (log, stopping) = (self.node.log.clone(), self.stopping.clone());
-        tokio::spawn(watch::run(log, since, sender, stopping));
+        let events = self.node.events.clone();
+        tokio::spawn(watch::run(log, events, since, sender, stopping));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -7,15 +7,35 @@
             TargetInfo, TargetRecord,
         },
         detector::{BrokerReport, EntryHeartbeat, TargetAnnouncement},
+        event::HybridStamp,
         names::SharedName,
         position::LogPosition,
         route::TargetRole,
         time::Micros,
     },
+    banyansill_runtime::{clock::wall_millis, events::EventSink},
     banyansill_wire::v1,
     std::collections::BTreeMap,
 };
 
+/// Largest lead of a sender's clock that is followed; a clock that is further ahead is wrong.
+const STAMP_LEAD_MS: u64 = 60_000;
+
+/// Moves the clock of events past the stamp of a message.
+pub fn observe_stamp(events: &EventSink, stamp: Option<&v1::Stamp>) {
+    let Some(stamp) = stamp else { return };
+    if stamp.millis <= wall_millis() + STAMP_LEAD_MS {
+        let _ = events.observe(HybridStamp { millis: stamp.millis, counter: stamp.counter });
+    }
+}
+
+/// Returns the stamp to be sent with a message.
+#[must_use]
+pub fn current_stamp(events: &EventSink) -> v1::Stamp {
+    let stamp = events.stamp();
+    v1::Stamp { millis: stamp.millis, counter: stamp.counter }
+}
+
 /// Returns the entry's own account of itself.
 #[must_use]
 pub fn entry_info(entry: &v1::EntryInfo) -> EntryInfo {
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -6,6 +6,7 @@
         view,
     },
     banyansill_core::cluster::{ChangeSet, ChangedItem, ClusterState},
+    banyansill_runtime::events::EventSink,
     banyansill_wire::v1,
     tokio::sync::{mpsc, watch},
     tonic::Status,
@@ -20,6 +21,7 @@
 /// Sends the changes after `since` until the watcher leaves or the replica stops.
 pub async fn run<L>(
     log: L,
+    events: EventSink,
     mut since: u64,
     replies: mpsc::Sender<Result<v1::WatchReply, Status>>,
     mut stopping: watch::Receiver<bool>,
@@ -39,7 +41,8 @@
                 return;
             }
         };
-        for reply in batch {
+        for mut reply in batch {
+            reply.stamp = Some(view::current_stamp(&events));
             started = true;
             since = reply.version;
             if replies.send(Ok(reply)).await.is_err() {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -86,6 +86,7 @@
             applied_version: self.applied_version,
             sheet_number: self.sheet_number,
             reports: self.reports.clone(),
+            stamp: None,
         };
         let reply = client.heartbeat(request).await.unwrap().into_inner();
         self.applied_version = reply.version;
--- a/crates/core/src/detector/lease.rs
+++ b/crates/core/src/detector/lease.rs
@@ -15,9 +15,6 @@
 /// Without it, a live broker whose watch hangs would block the promotion for good.
 pub const FENCE_GRACE: Micros = Micros::from_secs(1);
 
-/// The same for a planned change, in which the broker finishes running writes first.
-pub const PLANNED_GRACE: Micros = Micros::from_secs(10);
-
 /// Why a node lease was not renewed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum RenewalRefusal {
@@ -113,8 +110,7 @@
                 continue;
             }
             let Some(group) = state.databases().get(name) else { continue };
-            let grace = if group.planned { PLANNED_GRACE } else { FENCE_GRACE };
-            if now <= fence.closed_seen + grace {
+            if group.planned || now <= fence.closed_seen + FENCE_GRACE {
                 continue;
             }
             let Some(primary) = group.primary.as_ref() else { continue };
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     condition::{ANNOUNCEMENT_GAP, BROKER_ALONE, NO_EVIDENCE, TargetCondition},
-    lease::{FENCE_GRACE, PLANNED_GRACE, RenewalRefusal},
+    lease::{FENCE_GRACE, RenewalRefusal},
 };
 
 use {
@@ -108,6 +108,7 @@
 #[derive(Clone, Copy, Debug)]
 struct FenceSignal {
     term: u64,
+    closed_version: u64,
     closed_seen: Micros,
     fenced: Option<Micros>,
     candidate_term: u64,
@@ -262,12 +263,17 @@
             }
             let signal = self.fences.get(name).copied().unwrap_or(FenceSignal {
                 term: group.term,
+                closed_version: group.closed_version,
                 closed_seen: now,
                 fenced: None,
                 candidate_term: group.candidate_term,
                 candidate_seen: now,
             });
             let mut signal = signal;
+            if signal.closed_version != group.closed_version {
+                signal.closed_version = group.closed_version;
+                signal.closed_seen = now;
+            }
             if signal.candidate_term != group.candidate_term {
                 signal.candidate_term = group.candidate_term;
                 signal.candidate_seen = now;
@@ -285,6 +291,12 @@
         self.fences.get(database)?.fenced
     }
 
+    /// Returns when the leader saw first that a group's term was closed, as planned or not.
+    #[must_use]
+    pub fn closed_seen(&self, database: &str) -> Option<Micros> {
+        self.fences.get(database).map(|signal| signal.closed_seen)
+    }
+
     /// Returns when the leader saw the present candidate first.
     #[must_use]
     pub fn candidate_seen(&self, database: &str) -> Option<Micros> {
--- a/crates/core/src/promotion/change.rs
+++ b/crates/core/src/promotion/change.rs
@@ -15,6 +15,10 @@
 /// Time after which another candidate is chosen if the present one does not report its promotion.
 pub const CANDIDATE_TIMEOUT: Micros = Micros::from_secs(2);
 
+/// Time that a broker has to finish running writes in a planned change; after it, the term is closed as
+/// in an unplanned one and the broker must stop at once.
+pub const PLANNED_LIMIT: Micros = Micros::from_secs(10);
+
 /// Greatest age of a position when it reaches the leader: a broker's probe interval of 250 ms and the way
 /// to control.
 ///
@@ -133,10 +137,13 @@
         }
         return (target.is_draining() && has_successor(group, primary)).then(|| close(true));
     }
+    let Some(fenced) = table.fenced_at(name) else {
+        let overdue = table.closed_seen(name).is_some_and(|seen| now.since(seen) >= PLANNED_LIMIT);
+        return (group.planned && (failed || overdue)).then(|| close(false));
+    };
     if failed && group.planned {
         return Some(close(false));
     }
-    let fenced = table.fenced_at(name)?;
     let Some(candidate) = &group.candidate else {
         return choose(state, table, name, group, fenced, now);
     };
