--- a/crates/core/tests/promotion_faults.rs
+++ b/crates/core/tests/promotion_faults.rs
@@ -30,8 +30,8 @@
     #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Guards against two brokers that hold connections of one target, an acknowledgement in a replaced
-    /// term, a promotion that loses an acknowledged write, and a group that stays without a primary
-    /// after the faults have ended.
+    /// term, a promotion that loses an acknowledged write, an entry that acts under an old sheet for more
+    /// than 4 s, and a group that stays without a primary after the faults have ended.
     #[test]
     fn faults_lose_no_acknowledged_write(seed in any::<u64>(), plan in fault_plan()) {
         let mut world = settled(seed);
--- a/crates/core/tests/sim/fault.rs
+++ b/crates/core/tests/sim/fault.rs
@@ -24,6 +24,7 @@
     /// The path from an entry to a target is silent.
     SilentPath(usize, usize),
     ChangeLeader(u64),
+    ApplySheet,
     HealAll,
 }
 
@@ -45,6 +46,7 @@
         target.clone().prop_map(Fault::UnheardTarget),
         (entry, target).prop_map(|(entry, target)| Fault::SilentPath(entry, target)),
         (0..3_000_u64).prop_map(Fault::ChangeLeader),
+        Just(Fault::ApplySheet),
         Just(Fault::HealAll),
     ];
     prop::collection::vec((0..4_000_u64, fault), 1..14)
@@ -77,10 +79,22 @@
                 self.entries[entry].unreachable.insert(server);
             }
             Fault::ChangeLeader(span) => self.elect(Micros::from_millis(span)),
+            Fault::ApplySheet => self.apply_sheet(),
             Fault::HealAll => self.heal(),
         }
     }
 
+    fn apply_sheet(&mut self) {
+        let number = self.state.sheet().map_or(1, |record| record.number + 1);
+        self.commit(&ClusterCommand::ApplySheet {
+            number,
+            content: format!("sheet {number}"),
+            operator: String::new(),
+            request_id: String::new(),
+        });
+        self.sheets.push((number, self.now));
+    }
+
     /// Ends every fault; processes that died are started anew.
     pub fn heal(&mut self) {
         for number in 0..self.entries.len() {
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -45,6 +45,8 @@
     pub targets: Vec<SimTarget>,
     pub acked: Vec<LogPosition>,
     pub promotions: usize,
+    /// Accepted sheets with the time of acceptance.
+    pub sheets: Vec<(u64, Micros)>,
     /// Earlier states with the time until which a watcher may still see them.
     states: Vec<(Micros, Rc<ClusterState>)>,
     index: u64,
@@ -64,6 +66,7 @@
             targets: Vec::new(),
             acked: Vec::new(),
             promotions: 0,
+            sheets: Vec::new(),
             states: Vec::new(),
             index: 0,
             table: None,
@@ -178,6 +181,18 @@
             let holding: Vec<&str> = holding.map(|entry| entry.host.as_str()).collect();
             assert!(holding.len() <= 1, "{holding:?} hold connections of {}", target.name);
         }
+        // Grace, lease on the slowest clock, and one pass of the leader.
+        let bound = Micros::from_secs(4);
+        for (number, accepted) in self.sheets.iter().filter(|(_, at)| now.since(*at) > bound) {
+            for entry in self.entries.iter().filter(|entry| entry.may_act(now)) {
+                let applied = entry.sheet_number();
+                assert!(
+                    applied >= *number,
+                    "{} acts under sheet {applied} at {now:?}, sheet {number} was accepted at {accepted:?}",
+                    entry.host
+                );
+            }
+        }
         let mut terms = BTreeSet::new();
         for target in &self.targets {
             let primary = target.role_is_primary();
--- a/crates/core/tests/sim/parts.rs
+++ b/crates/core/tests/sim/parts.rs
@@ -182,6 +182,14 @@
         now < self.lease && self.held.contains(server)
     }
 
+    pub fn may_act(&self, now: Micros) -> bool {
+        self.runs(now) && now < self.lease
+    }
+
+    pub fn sheet_number(&self) -> u64 {
+        self.view.sheet().map_or(0, |record| record.number)
+    }
+
     pub fn renewed(&mut self, holder: &BrokerRef, sent: Micros) {
         if self.alive && holder.incarnation == self.incarnation {
             let span = Micros(NODE_LEASE.0 * self.rate / 100);
@@ -319,7 +327,8 @@
         };
         let entry = BrokerRef { host: self.host.clone(), incarnation: self.incarnation };
         let applied_version = self.view.version();
-        let body = EntryHeartbeat { entry, applied_version, sheet_number: 0, reports };
+        let sheet_number = self.sheet_number();
+        let body = EntryHeartbeat { entry, applied_version, sheet_number, reports };
         let due = now + Micros::from_millis(rng.random_range(1..40));
         Some(Heartbeat { due, sent: now, number: self.number, info, body })
     }
