--- a/crates/core/src/cluster/record.rs
+++ b/crates/core/src/cluster/record.rs
@@ -49,7 +49,7 @@
 }
 
 /// One process of an entry host.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BrokerRef {
     /// Host name.
     pub host: SharedName,
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -14,6 +14,7 @@
 use {
     crate::{
         cluster::{BrokerRef, ClusterState},
+        collections::FastMap,
         names::SharedName,
         position::LogPosition,
         route::TargetRole,
@@ -122,10 +123,10 @@
     observing_since: Micros,
     ticked: Micros,
     ticks: u64,
-    entries: BTreeMap<BrokerRef, EntrySignal>,
-    targets: BTreeMap<TargetKey, TargetSignal>,
+    entries: FastMap<BrokerRef, EntrySignal>,
+    targets: FastMap<TargetKey, TargetSignal>,
     /// When a broker reported last that it reaches a target.
-    reached: BTreeMap<TargetKey, Micros>,
+    reached: FastMap<TargetKey, Micros>,
     fences: BTreeMap<SharedName, FenceSignal>,
     expiring: BTreeSet<BrokerRef>,
     sheet_seen: Option<(u64, Micros)>,
@@ -147,15 +148,15 @@
 impl LivenessTable {
     /// Creates the table of a leader whose leadership began at or before `now`.
     #[must_use]
-    pub const fn new(now: Micros) -> Self {
+    pub fn new(now: Micros) -> Self {
         Self {
             lead_since: now,
             observing_since: now,
             ticked: now,
             ticks: 0,
-            entries: BTreeMap::new(),
-            targets: BTreeMap::new(),
-            reached: BTreeMap::new(),
+            entries: FastMap::default(),
+            targets: FastMap::default(),
+            reached: FastMap::default(),
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
             sheet_seen: None,
--- a/crates/core/src/promotion/assign.rs
+++ b/crates/core/src/promotion/assign.rs
@@ -51,9 +51,12 @@
     best.map(|(_, entry)| entry)
 }
 
-/// Bound of the work on better placement in one pass, in pairs of a target and an entry.
+/// Bound of the work on better placement in one round, in pairs of a target and an entry.
 const PLACEMENT_PAIRS: usize = 50_000;
 
+/// Better placement is looked for in one of this many rounds over all groups.
+const PLACEMENT_EVERY: u64 = 10;
+
 /// The entries that may become brokers, and the handovers that may begin in this pass.
 pub(super) struct AssignmentPlan<'a> {
     state: &'a ClusterState,
@@ -62,30 +65,46 @@
     eligible: Vec<&'a EntryRecord>,
     /// Handovers for better placement that may still begin.
     moves_left: usize,
-    /// One target in this many is looked at for better placement in a pass.
+    /// One target in this many is looked at for better placement in a round.
     placement_turns: u64,
+    /// Number of times that every group was looked at.
+    round: u64,
 }
 
 impl<'a> AssignmentPlan<'a> {
-    pub(super) fn new(state: &'a ClusterState, table: &'a LivenessTable, now: Micros) -> Self {
+    pub(super) fn new(
+        state: &'a ClusterState,
+        table: &'a LivenessTable,
+        now: Micros,
+        turns: usize,
+    ) -> Self {
         let mut eligible = Vec::new();
         for entry in state.entries().values() {
             if entry.is_eligible() && table.holds_lease(&reference(entry), now) {
                 eligible.push(entry);
             }
         }
+        let round = table.ticks() / u64::try_from(turns.max(1)).unwrap_or(1);
+        let mut plan =
+            Self { state, table, now, eligible, moves_left: 0, placement_turns: 1, round };
+        let settled = now.since(table.lead_since()) >= REBALANCE_DELAY
+            && table.entries_stable_for(state, now) >= REBALANCE_DELAY;
+        if settled && round.is_multiple_of(PLACEMENT_EVERY) {
+            plan.allow_moves();
+        }
+        plan
+    }
+
+    fn allow_moves(&mut self) {
         let mut releasing = 0;
         let mut targets = 0;
-        for group in state.databases().values() {
+        for group in self.state.databases().values() {
             targets += group.targets.len();
             releasing += group.targets.values().filter(|target| target.releasing.is_some()).count();
         }
-        let settled = now.since(table.lead_since()) >= REBALANCE_DELAY
-            && table.entries_stable_for(state, now) >= REBALANCE_DELAY;
-        let moves_left = if settled { REBALANCE_LIMIT.saturating_sub(releasing) } else { 0 };
-        let pairs = targets.saturating_mul(eligible.len());
-        let placement_turns = u64::try_from(pairs / PLACEMENT_PAIRS + 1).unwrap_or(1);
-        Self { state, table, now, eligible, moves_left, placement_turns }
+        self.moves_left = REBALANCE_LIMIT.saturating_sub(releasing);
+        let pairs = targets.saturating_mul(self.eligible.len());
+        self.placement_turns = u64::try_from(pairs / PLACEMENT_PAIRS + 1).unwrap_or(1);
     }
 
     /// Returns the next assignment of a target: `Some(None)` revokes, `None` changes nothing.
@@ -147,7 +166,8 @@
 
     fn placement_due(&self, key: &TargetKey) -> bool {
         let hash = FixedState::with_seed(1).hash_one((key.0.as_str(), key.1.as_str()));
-        hash % self.placement_turns == self.table.ticks() % self.placement_turns
+        let turn = self.round / PLACEMENT_EVERY;
+        hash % self.placement_turns == turn % self.placement_turns
     }
 
     fn best(&self, key: &TargetKey, target: &TargetRecord) -> Option<BrokerRef> {
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -47,7 +47,7 @@
     }
     let turns = state.databases().len().div_ceil(GROUPS_PER_PASS).max(1);
     let turn = table.turn(turns);
-    let mut plan = AssignmentPlan::new(state, table, now);
+    let mut plan = AssignmentPlan::new(state, table, now, turns);
     for (index, (name, group)) in state.databases().iter().enumerate() {
         if index % turns != turn && !group.closed {
             continue;
--- a/crates/core/tests/promotion_rules.rs
+++ b/crates/core/tests/promotion_rules.rs
@@ -12,7 +12,8 @@
         machine::StateMachine,
         position::LogPosition,
         promotion::{
-            ChangeOutlook, OBSERVATION_AGE, decide, outlook, preferred_entry, required_answers,
+            ChangeOutlook, OBSERVATION_AGE, REBALANCE_LIMIT, decide, outlook, preferred_entry,
+            required_answers,
         },
         route::TargetRole,
         time::{Micros, NODE_LEASE, SHEET_GRACE, grantor_expiry},
@@ -208,3 +209,51 @@
     entries.retain(|entry| entry.info.zone.as_str() != "z2");
     assert!(place(&entries).iter().all(|entry| entry.info.region.as_str() == "r1"));
 }
+
+/// Guards against targets that stay with the entry that started first: each one moves, with a release in
+/// between, once the set of entries has been stable.
+#[test]
+fn later_entries_get_their_share() {
+    let mut fixture = Fixture::default();
+    let mut table = LivenessTable::new(T0);
+    let mut entries = vec![fixture.join("first")];
+    for port in 0..12 {
+        fixture.target(&format!("s{port}"), port);
+    }
+    let mut now = T0;
+    let mut releasing = 0;
+    for step in 0..600 {
+        now += Micros::from_millis(100);
+        if step == 40 {
+            entries.extend([fixture.join("second"), fixture.join("third")]);
+        }
+        for entry in &entries {
+            fixture.beat(&mut table, entry, 0, now);
+            table.renew(&fixture.state, entry, now, now).unwrap();
+        }
+        for port in 0..12 {
+            let announcement = TargetAnnouncement {
+                incarnation: 1,
+                role: Some(TargetRole::Replica),
+                term: 1,
+                position: LogPosition::ZERO,
+            };
+            table.announce(now, ("d".into(), format!("s{port}").into()), announcement);
+        }
+        for command in decide(&fixture.state, &mut table, now) {
+            fixture.apply(&command);
+        }
+        let targets = fixture.state.databases()["d"].targets.values();
+        releasing = releasing.max(targets.filter(|target| target.releasing.is_some()).count());
+    }
+    let mut held: BTreeMap<String, usize> = BTreeMap::new();
+    for (server, target) in &fixture.state.databases()["d"].targets {
+        let holder = target.broker.clone().unwrap().host;
+        let records = fixture.state.entries().values();
+        let best = preferred_entry(records, &"d".into(), server, &target.info).unwrap();
+        assert_eq!(holder, best.info.host);
+        *held.entry(holder.to_string()).or_default() += 1;
+    }
+    assert_eq!(held.len(), 3, "{held:?}");
+    assert!((1..=REBALANCE_LIMIT).contains(&releasing), "{releasing} handovers at a time");
+}
