--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -130,6 +130,7 @@
     let events = EventSink::new(settings.host.clone());
     let Some(folder) = settings.data.clone() else {
         log::warn!("no data folder: the state is kept in memory and ends with the process");
+        events.record(EventNumber::LeaderElected, &[("term", "1".to_owned())]);
         let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
         let members = SoloMembers { host: settings.host.clone(), address };
         return spawn_with(settings, listener, events, (log, members), None).await;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -9,7 +9,6 @@
     banyansill_core::{
         cluster::{BrokerRef, ClusterCommand, ClusterState},
         detector::LivenessTable,
-        event::EventNumber,
         promotion,
     },
     futures::future::join_all,
@@ -62,18 +61,12 @@
     let mut leader = lock(&node.leader);
     let current = leader.as_ref().map(|leader| leader.term);
     if !status.leading {
-        if current.is_some() {
-            *leader = None;
-            let fields = [("term", status.term.to_string())];
-            node.events.record(EventNumber::LeaderLost, &fields);
-        }
+        *leader = None;
         return false;
     }
     if current != Some(status.term) {
         let table = LivenessTable::new(node.clock.now());
         *leader = Some(LeaderTable { term: status.term, table });
-        let fields = [("term", status.term.to_string())];
-        node.events.record(EventNumber::LeaderElected, &fields);
     }
     true
 }
