--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,5 +1,9 @@
 //! Routes: which targets exist, who brokers them and which of them may serve a request.
 
+mod choice;
+
+pub use choice::{ChoiceQuery, FailedTry, choose_target};
+
 use {
     crate::{
         collections::FastMap,
@@ -83,6 +87,8 @@
     pub version: u64,
     /// Database groups by name.
     pub databases: FastMap<SharedName, Arc<DatabaseRoute>>,
+    /// Number of the sheet in force; 0 before one was accepted.
+    pub sheet_number: u64,
     /// Sheet in force, if one was accepted.
     pub sheet: Option<Arc<RuleSheet>>,
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,4 +1,12 @@
 //! Entry process: callers' sessions, brokers of targets, heartbeat and watch.
 
+pub mod admin;
+pub mod broker;
 pub mod lease;
 pub mod link;
+pub mod membership;
+pub mod process;
+pub mod session;
+pub mod settings;
+
+pub use process::{EntryHandle, spawn};
