--- a/crates/entry/src/membership/heartbeat.rs
+++ b/crates/entry/src/membership/heartbeat.rs
@@ -121,12 +121,14 @@
         let table = self.routes.borrow();
         let mut entry = self.settings.entry.clone();
         entry.draining = *self.drain.borrow();
+        let stamp = self.links.events.stamp();
         v1::HeartbeatRequest {
             entry: Some(entry),
             sequence: self.sequence,
             applied_version: table.version,
             sheet_number: table.sheet_number,
             reports: self.links.reports.borrow().clone(),
+            stamp: Some(v1::Stamp { millis: stamp.millis, counter: stamp.counter }),
         }
     }
 
