--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -130,6 +130,7 @@
     let events = EventSink::new(settings.host.clone());
     let Some(folder) = settings.data.clone() else {
         log::warn!("no data folder: the state is kept in memory and ends with the process");
+        events.record(EventNumber::LeaderElected, &[("term", "1".to_owned())]);
         let log = SoloLog::new(ClusterState::default(), Some(address.clone()));
         let members = SoloMembers { host: settings.host.clone(), address };
         return spawn_with(settings, listener, events, (log, members), None).await;
@@ -208,7 +209,7 @@
         .local_addr()
         .map_err(|source| SpawnError::Listen { address: settings.listen, source })?;
     let node = ControlNode::new(log, members, events.clone());
-    let client = LeaderClient::default();
+    let client = LeaderClient::spawn(node.clone());
     let (http, admin) = admin::spawn(settings.http, node.clone(), client.clone(), tokens).await?;
     let leader = tokio::spawn(leader::run(node.clone()));
     let (stop, mut stopping) = watch::channel(false);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -81,7 +81,8 @@
         let (sender, receiver) = mpsc::channel(watch::WATCH_DEPTH);
         let since = request.into_inner().since_version;
         let (log, stopping) = (self.node.log.clone(), self.stopping.clone());
-        tokio::spawn(watch::run(log, since, sender, stopping));
+        let events = self.node.events.clone();
+        tokio::spawn(watch::run(log, events, since, sender, stopping));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -90,14 +91,14 @@
         request: Request<v1::AnnounceRequest>,
     ) -> Result<Response<v1::AnnounceReply>, Status> {
         let request = request.into_inner();
+        if request.forwarded {
+            self.node.announce_all(&request.more).await?;
+            return Ok(Response::new(v1::AnnounceReply::default()));
+        }
         let Some(announcement) = request.announcement else {
             return Err(Status::invalid_argument("the announcement is missing"));
         };
-        let reply = if request.forwarded {
-            self.node.announce(announcement).await?
-        } else {
-            self.client.announce(&self.node, announcement).await?
-        };
+        let reply = self.client.announce(&self.node, announcement).await?;
         Ok(Response::new(reply))
     }
 
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -8,12 +8,13 @@
 
 pub use {
     condition::{ANNOUNCEMENT_GAP, BROKER_ALONE, NO_EVIDENCE, TargetCondition},
-    lease::{FENCE_GRACE, PLANNED_GRACE, RenewalRefusal},
+    lease::{FENCE_GRACE, RenewalRefusal},
 };
 
 use {
     crate::{
         cluster::{BrokerRef, ClusterState},
+        collections::FastMap,
         names::SharedName,
         position::LogPosition,
         route::TargetRole,
@@ -108,6 +109,7 @@
 #[derive(Clone, Copy, Debug)]
 struct FenceSignal {
     term: u64,
+    closed_version: u64,
     closed_seen: Micros,
     fenced: Option<Micros>,
     candidate_term: u64,
@@ -121,10 +123,10 @@
     observing_since: Micros,
     ticked: Micros,
     ticks: u64,
-    entries: BTreeMap<BrokerRef, EntrySignal>,
-    targets: BTreeMap<TargetKey, TargetSignal>,
+    entries: FastMap<BrokerRef, EntrySignal>,
+    targets: FastMap<TargetKey, TargetSignal>,
     /// When a broker reported last that it reaches a target.
-    reached: BTreeMap<TargetKey, Micros>,
+    reached: FastMap<TargetKey, Micros>,
     fences: BTreeMap<SharedName, FenceSignal>,
     expiring: BTreeSet<BrokerRef>,
     sheet_seen: Option<(u64, Micros)>,
@@ -146,15 +148,15 @@
 impl LivenessTable {
     /// Creates the table of a leader whose leadership began at or before `now`.
     #[must_use]
-    pub const fn new(now: Micros) -> Self {
+    pub fn new(now: Micros) -> Self {
         Self {
             lead_since: now,
             observing_since: now,
             ticked: now,
             ticks: 0,
-            entries: BTreeMap::new(),
-            targets: BTreeMap::new(),
-            reached: BTreeMap::new(),
+            entries: FastMap::default(),
+            targets: FastMap::default(),
+            reached: FastMap::default(),
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
             sheet_seen: None,
@@ -262,12 +264,17 @@
             }
             let signal = self.fences.get(name).copied().unwrap_or(FenceSignal {
                 term: group.term,
+                closed_version: group.closed_version,
                 closed_seen: now,
                 fenced: None,
                 candidate_term: group.candidate_term,
                 candidate_seen: now,
             });
             let mut signal = signal;
+            if signal.closed_version != group.closed_version {
+                signal.closed_version = group.closed_version;
+                signal.closed_seen = now;
+            }
             if signal.candidate_term != group.candidate_term {
                 signal.candidate_term = group.candidate_term;
                 signal.candidate_seen = now;
@@ -285,6 +292,12 @@
         self.fences.get(database)?.fenced
     }
 
+    /// Returns when the leader saw first that a group's term was closed, as planned or not.
+    #[must_use]
+    pub fn closed_seen(&self, database: &str) -> Option<Micros> {
+        self.fences.get(database).map(|signal| signal.closed_seen)
+    }
+
     /// Returns when the leader saw the present candidate first.
     #[must_use]
     pub fn candidate_seen(&self, database: &str) -> Option<Micros> {
