fix(entry): give up statements on connections that fell silent

Cause: when something on the path loses the state of all open connections, the statements on them held every slot until their deadline of 10 s; the probe noticed only its own connection. Ruled out: giving up every long statement, since a long report is not a dead connection. Change: when the probe's kept connection is silent and a fresh one answers, idle connections are closed, and a running statement on an older connection is given up after 2 s without a byte. Conclusion: a report on an older connection is moved or reported as unknown if the probe's own connection alone fell silent; that is the price.

--- a/crates/entry/src/broker/connection.rs
+++ b/crates/entry/src/broker/connection.rs
@@ -25,7 +25,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
         sync::Notify,
-        time::timeout,
+        time::{Instant, timeout},
     },
 };
 
@@ -130,6 +130,7 @@
     pub(super) cancel_key: CancelKey,
     /// When the target last answered on this connection.
     pub(super) heard: banyansill_core::time::Micros,
+    pub(super) opened: Instant,
     _counted: CountedConnection,
 }
 
@@ -163,6 +164,7 @@
             replies: ReplyTracker::default(),
             cancel_key,
             heard: banyansill_core::time::Micros::ZERO,
+            opened: Instant::now(),
             _counted: counted,
         };
         let mut request = BytesMut::new();
--- a/crates/entry/src/broker/grant.rs
+++ b/crates/entry/src/broker/grant.rs
@@ -92,6 +92,8 @@
     pub(super) started: Option<Instant>,
     pub(super) deadline: Option<Instant>,
     pub(super) timer: Pin<Box<Sleep>>,
+    /// When the running statement's connection is given up if the target sends nothing.
+    pub(super) suspect: Option<Instant>,
     pub(super) first: bool,
     pub(super) tainted: bool,
     /// A cancel was sent for the running statement.
@@ -124,6 +126,7 @@
             baseline: None,
             opened,
             started: None,
+            suspect: None,
             deadline: Some(deadline),
             timer: Box::pin(sleep_until(deadline)),
             first: true,
--- a/crates/entry/src/broker/hub.rs
+++ b/crates/entry/src/broker/hub.rs
@@ -369,6 +369,7 @@
             open: self.leased,
             closing: false,
             reachable: true,
+            silenced: None,
             epoch: target.epoch,
             draining: target.draining,
             route: Arc::clone(route),
--- a/crates/entry/src/broker/lifecycle.rs
+++ b/crates/entry/src/broker/lifecycle.rs
@@ -31,7 +31,7 @@
             if same && gate.open == next.open && !gate.closing {
                 return false;
             }
-            *gate = TargetGate { reachable: gate.reachable, ..next };
+            *gate = TargetGate { reachable: gate.reachable, silenced: gate.silenced, ..next };
             true
         });
         if changed && self.gate.borrow().route.term != term {
--- a/crates/entry/src/broker/probe.rs
+++ b/crates/entry/src/broker/probe.rs
@@ -85,13 +85,20 @@
     async fn probe_once(&mut self) {
         let sent = self.shared.clock.now();
         let before = *self.shared.status.borrow();
+        let kept = self.connection.is_some();
         if let Some(status) = self.ask_kept().await {
             self.take_status(before, status);
         } else {
             let fresh = self.shared.clock.now();
+            let opened = Instant::now();
             self.shared.record_missed(sent);
             match self.ask_fresh().await {
-                Ok(status) => self.take_status(before, status),
+                Ok(status) => {
+                    if kept {
+                        self.suspect(opened);
+                    }
+                    self.take_status(before, status);
+                }
                 // An answer of any kind proves that the target is reachable.
                 Err(ConnectionFault::Refused { code, message }) => {
                     log::warn!(
@@ -143,6 +150,17 @@
         }
     }
 
+    /// Replaces idle connections opened before `opened` and has running grants watch theirs.
+    fn suspect(&self, opened: Instant) {
+        self.shared.gate.send_modify(|gate| gate.silenced = Some(opened));
+        let closed = self.shared.close_idle();
+        log::warn!(
+            "target {}/{}: a connection fell silent while new ones work; {closed} idle ones closed",
+            self.shared.database,
+            self.shared.server
+        );
+    }
+
     fn answered(&self) -> bool {
         if !self.shared.record_answered() {
             return false;
--- a/crates/entry/src/broker/pump.rs
+++ b/crates/entry/src/broker/pump.rs
@@ -9,11 +9,11 @@
     crate::link::{LinkFailure, LinkInput, LinkOutput, TransactionStatus},
     banyansill_core::{event::EventNumber, failure::FailureKind, position::LogTerm, time::Micros},
     bytes::Bytes,
-    std::io,
+    std::{io, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         sync::{mpsc::error::TrySendError, oneshot},
-        time::Instant,
+        time::{Instant, sleep_until},
     },
 };
 
@@ -23,6 +23,11 @@
 /// Free space of the read buffer before each read.
 const READ_SPACE: usize = 16 << 10;
 
+/// Silence after which a statement's connection is given up once connections of its age are suspect.
+///
+/// Short statements end long before; a report whose connection is sound usually sends rows by then.
+const SUSPECT_WAIT: Duration = Duration::from_secs(2);
+
 #[allow(clippy::large_enum_variant, reason = "moving an assignment is cheaper than a box for it")]
 enum PumpEvent {
     Gate,
@@ -32,6 +37,7 @@
     Read(io::Result<usize>),
     Wrote(io::Result<usize>),
     Timer,
+    Silent,
     Confirmed(bool),
 }
 
@@ -65,12 +71,18 @@
                     self.feed_stalled()?;
                 }
                 PumpEvent::Input(message) => self.take_input(message).await?,
-                PumpEvent::Read(Ok(count)) if count > 0 => self.take_output()?,
+                PumpEvent::Read(Ok(count)) if count > 0 => {
+                    self.suspect = None;
+                    self.take_output()?;
+                }
                 PumpEvent::Wrote(Ok(count)) if count > 0 => {}
                 PumpEvent::Read(_) | PumpEvent::Wrote(_) => {
                     return Err(self.interrupted(FailureKind::ConnectionLost));
                 }
                 PumpEvent::Timer => self.take_timer()?,
+                PumpEvent::Silent => {
+                    return Err(self.interrupted(FailureKind::ConnectionLost));
+                }
                 PumpEvent::Confirmed(confirmed) => self.take_confirmation(confirmed)?,
             }
         }
@@ -109,6 +121,7 @@
                 None => return Err(self.interrupted(FailureKind::WrongEpoch)),
             },
             () = self.timer.as_mut(), if self.deadline.is_some() => PumpEvent::Timer,
+            () = reached(self.suspect), if self.suspect.is_some() => PumpEvent::Silent,
         };
         Ok(event)
     }
@@ -451,6 +464,7 @@
         let leased = gate.open && self.shared.lease.is_valid();
         let reachable = gate.reachable;
         let replaced = gate.closed_for(self.request.term);
+        let silenced = gate.silenced;
         drop(gate);
         if !leased {
             return Err(self.interrupted(FailureKind::LeaseLost));
@@ -461,6 +475,10 @@
         if self.writes() && replaced {
             return Err(self.interrupted(FailureKind::PrimaryReplaced));
         }
+        let opened = self.connection.as_ref().map(|connection| connection.opened);
+        if self.started.is_some() && self.suspect.is_none() && opened < silenced {
+            self.suspect = Some(Instant::now() + SUSPECT_WAIT);
+        }
         Ok(())
     }
 
@@ -496,6 +514,12 @@
     }
 }
 
+async fn reached(at: Option<Instant>) {
+    if let Some(at) = at {
+        sleep_until(at).await;
+    }
+}
+
 async fn answer_of(confirmation: &mut Option<oneshot::Receiver<bool>>) -> Option<bool> {
     match confirmation {
         Some(answer) => answer.await.ok(),
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -25,7 +25,10 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    tokio::sync::{Notify, oneshot, watch},
+    tokio::{
+        sync::{Notify, oneshot, watch},
+        time::Instant,
+    },
 };
 
 /// Returns a failure with its kind's default retry hint.
@@ -42,6 +45,9 @@
     pub(super) closing: bool,
     /// The probes reach the target.
     pub(super) reachable: bool,
+    /// Connections opened before this are suspect: the probe's own went silent while a fresh one
+    /// worked, as happens when something on the path has lost its state.
+    pub(super) silenced: Option<Instant>,
     pub(super) epoch: u64,
     pub(super) draining: bool,
     pub(super) route: Arc<DatabaseRoute>,
