--- a/crates/banyansill/tests/control.rs
+++ b/crates/banyansill/tests/control.rs
@@ -25,7 +25,10 @@
 const LEASE_LIMIT: Duration = Duration::from_secs(3);
 
 async fn cluster(controls: usize, entries: usize) -> TestCluster {
-    let plan = ClusterPlan { controls, entries, lag_ms: 20, ..ClusterPlan::default() };
+    spawn(ClusterPlan { controls, entries, lag_ms: 20, ..ClusterPlan::default() }).await
+}
+
+async fn spawn(plan: ClusterPlan) -> TestCluster {
     let cluster = TestCluster::spawn(plan).await.unwrap();
     let caller = cluster.caller(0, "test").await.unwrap();
     caller.batch_execute(TABLE).await.unwrap();
@@ -162,7 +165,9 @@
 
 /// One target leaves under load; the two that stay can still confirm each other's commits.
 async fn leave(target: usize, seed: u64) {
-    let mut cluster = cluster(1, 2).await;
+    // Statements take long enough that some always run when the target begins to leave.
+    let plan = ClusterPlan { lag_ms: 20, statement_cost_us: 30_000, ..ClusterPlan::default() };
+    let mut cluster = spawn(plan).await;
     let workload = Workload::spawn(&addresses(&cluster), CALLERS, seed);
     sleep(Duration::from_secs(2)).await;
     cluster.targets[target].process.terminate().unwrap();
--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -297,7 +297,8 @@
         if !self.leased {
             return TargetOrder::None;
         }
-        let next = LogTerm(self.route.term.0 + 1);
+        // A repeated attempt has a higher term than the one that failed.
+        let next = self.route.candidate_term.max(LogTerm(self.route.term.0 + 1));
         if self.route.candidate.as_deref() == Some(self.server) {
             if status.role == TargetRole::Primary && status.term >= next {
                 return TargetOrder::None;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -72,8 +72,12 @@
     pub primary: Option<SharedName>,
     /// Whether the term is closed for acknowledgements.
     pub closed: bool,
+    /// Whether a closed term may still finish and acknowledge its running writes.
+    pub planned: bool,
     /// Server that was told to promote for the next term.
     pub candidate: Option<SharedName>,
+    /// Term that the candidate is told to promote to.
+    pub candidate_term: LogTerm,
     /// Terms in ascending order.
     pub history: Vec<TermStart>,
     /// Targets in the order of their server names.
--- a/crates/entry/src/broker/grant.rs
+++ b/crates/entry/src/broker/grant.rs
@@ -134,11 +134,21 @@
             cancelling: false,
             cancel_in_doubt: false,
         };
+        // Counted before the gate is checked, so that a term with an admitted write is never reported
+        // as fenced.
+        let writes = grant.writes();
+        let shared = Arc::clone(&grant.shared);
+        if writes {
+            shared.writers.fetch_add(1, Ordering::SeqCst);
+        }
         let end = match grant.begin().await {
             Ok(()) => grant.serve().await,
             Err(end) => end,
         };
         grant.end(end).await;
+        if writes {
+            shared.writers.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 
     pub(super) fn writes(&self) -> bool {
--- a/crates/entry/src/broker/lifecycle.rs
+++ b/crates/entry/src/broker/lifecycle.rs
@@ -95,9 +95,15 @@
             Some(TargetRole::Replica) => v1::Role::Replica,
             None => v1::Role::Unspecified,
         };
-        // The gate has shown the closed term to every grant, so no more is acknowledged under it.
+        // The gate has shown the closed term to every grant, so no more is acknowledged under it. After
+        // a planned close the running writes come first.
         let term = gate.route.term.0;
-        let fenced_term = if gate.route.closed { term } else { term.saturating_sub(1) };
+        let finished = !gate.route.planned || self.writers.load(Ordering::SeqCst) == 0;
+        let fenced_term = if gate.route.closed && finished { term } else { term.saturating_sub(1) };
+        let term_start = *self.term_start.lock().unwrap_or_else(PoisonError::into_inner);
+        let term_start = term_start.filter(|(term, _)| {
+            status.is_some_and(|status| status.role == TargetRole::Primary && status.term == *term)
+        });
         v1::TargetReport {
             database: self.database.to_string(),
             server: self.server.to_string(),
@@ -109,7 +115,7 @@
             fenced_term,
             open_connections: self.pooled.open() + self.probing.open(),
             term: status.map_or(0, |status| status.term.0),
-            term_start: None,
+            term_start: term_start.map(|(_, start)| start.into()),
         }
     }
 }
--- a/crates/entry/src/broker/probe.rs
+++ b/crates/entry/src/broker/probe.rs
@@ -14,7 +14,10 @@
         time::Micros,
     },
     banyansill_runtime::clock::wall_millis,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, PoisonError},
+        time::Duration,
+    },
     tokio::time::{Instant, sleep},
 };
 
@@ -187,12 +190,25 @@
         self.shared.events.record(number, &fields);
     }
 
+    /// Records where a new term begins: before the first entry, whose position the promotion returned.
+    fn record_start(&self, term: LogTerm, first: Option<LogPosition>) {
+        let status = *self.shared.status.borrow();
+        let (Some(first), Some(status)) = (first, status) else { return };
+        let start = LogPosition { offset: first.offset.saturating_sub(1), ..status.received };
+        if first.term != term || status.received.term >= term || start < status.received {
+            return;
+        }
+        let mut known = self.shared.term_start.lock().unwrap_or_else(PoisonError::into_inner);
+        *known = Some((term, start));
+    }
+
     async fn give_order(&mut self) {
         if self.ordered.is_some_and(|at| at.elapsed() < ORDER_INTERVAL) {
             return;
         }
         let gate = self.shared.gate.borrow().clone();
-        let sql = match self.shared.view(&gate, |view| view.order()) {
+        let order = self.shared.view(&gate, |view| view.order());
+        let sql = match order {
             TargetOrder::None => return,
             TargetOrder::Promote(LogTerm(term)) => format!("SELECT group_promote({term})"),
             TargetOrder::Follow(LogTerm(term)) => {
@@ -204,7 +220,14 @@
         self.ordered = Some(Instant::now());
         let Some(mut connection) = self.connection.take() else { return };
         match connection.query(&sql, PROBE_SILENCE.as_duration()).await {
-            Ok(_) | Err(ConnectionFault::Refused { .. }) => self.connection = Some(connection),
+            Ok(rows) => {
+                self.connection = Some(connection);
+                if let TargetOrder::Promote(term) = order {
+                    let answer = rows.first("group_promote").and_then(|text| text.parse().ok());
+                    self.record_start(term, answer);
+                }
+            }
+            Err(ConnectionFault::Refused { .. }) => self.connection = Some(connection),
             Err(fault) => log::warn!("target {}: {sql}: {fault}", self.shared.server),
         }
         // The next probe shows at once what the order has changed.
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -55,8 +55,11 @@
 
 impl TargetGate {
     /// Returns whether writes under `term` are not acknowledged any more.
+    ///
+    /// A planned close lets running writes finish; new ones are refused at admission.
     pub(super) fn closed_for(&self, term: u64) -> bool {
-        self.route.closed || self.route.term != LogTerm(term)
+        let closed = self.route.closed && !self.route.planned;
+        closed || self.route.term != LogTerm(term)
     }
 }
 
@@ -164,6 +167,10 @@
     pub(super) poll: Notify,
     poll_until: AtomicU64,
     first_write: AtomicBool,
+    /// Write grants that are open; counted before they are admitted.
+    pub(super) writers: AtomicU64,
+    /// Term that the target was promoted to, and the last position of earlier terms in its log.
+    pub(super) term_start: Mutex<Option<(LogTerm, LogPosition)>>,
     pub(super) counters: TargetCounters,
     state: Mutex<TargetState>,
 }
@@ -204,6 +211,8 @@
             poll: Notify::new(),
             poll_until: AtomicU64::new(0),
             first_write: AtomicBool::new(false),
+            writers: AtomicU64::new(0),
+            term_start: Mutex::new(None),
             counters: TargetCounters::default(),
             state: Mutex::new(state),
         })
--- a/crates/entry/src/membership/view.rs
+++ b/crates/entry/src/membership/view.rs
@@ -15,6 +15,19 @@
 #[derive(Debug, Default)]
 pub(super) struct ClusterView {
     table: RouteTable,
+    /// Parts of a version that is not complete yet.
+    staged: Option<RouteTable>,
+}
+
+/// What a reply did to the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ViewChange {
+    /// The view shows a complete version.
+    Complete,
+    /// More replies for the version follow.
+    Partial,
+    /// The replica behind the reply is not usable.
+    Refused,
 }
 
 impl ClusterView {
@@ -27,13 +40,18 @@
         self.table.clone()
     }
 
-    /// Applies a reply; returns false if the replica behind it is not usable.
+    /// Forgets the parts of an incomplete version, since a new stream begins again.
+    pub(super) fn restart(&mut self) {
+        self.staged = None;
+    }
+
+    /// Applies a reply.
     ///
     /// A reply that is older than the view comes from a replica that is behind. Applying it would
     /// take back a sheet or a term.
-    pub(super) fn apply(&mut self, reply: &v1::WatchReply) -> bool {
+    pub(super) fn apply(&mut self, reply: &v1::WatchReply) -> ViewChange {
         if reply.version < self.table.version {
-            return false;
+            return ViewChange::Refused;
         }
         let sheet = match &reply.sheet {
             Some(sheet) if sheet.number > self.table.sheet_number => {
@@ -41,25 +59,31 @@
                     Ok(parsed) => Some((sheet.number, Arc::new(parsed))),
                     Err(faults) => {
                         log::error!("sheet {} has {} faults", sheet.number, faults.len());
-                        return false;
+                        return ViewChange::Refused;
                     }
                 }
             }
             _ => None,
         };
+        let mut table = self.staged.take().unwrap_or_else(|| self.table.clone());
         if reply.reset {
-            self.table.databases = FastMap::default();
+            table.databases = FastMap::default();
         }
         for database in &reply.databases {
             let name = SharedName::from(database.database.as_str());
-            self.table.databases.insert(name, Arc::new(route(database)));
+            table.databases.insert(name, Arc::new(route(database)));
         }
         if let Some((number, rules)) = sheet {
-            self.table.sheet_number = number;
-            self.table.sheet = Some(rules);
+            table.sheet_number = number;
+            table.sheet = Some(rules);
+        }
+        if reply.partial {
+            self.staged = Some(table);
+            return ViewChange::Partial;
         }
-        self.table.version = reply.version;
-        true
+        table.version = reply.version;
+        self.table = table;
+        ViewChange::Complete
     }
 }
 
@@ -87,7 +111,9 @@
         term: LogTerm(view.term),
         primary: optional(&view.primary),
         closed: view.closed,
+        planned: view.planned,
         candidate: optional(&view.candidate),
+        candidate_term: LogTerm(view.candidate_term),
         history,
         targets,
     }
--- a/crates/entry/src/membership/watch.rs
+++ b/crates/entry/src/membership/watch.rs
@@ -1,7 +1,10 @@
 //! The watch on the cluster state.
 
 use {
-    super::{ControlRing, MembershipLinks, MembershipSettings, connect, view::ClusterView},
+    super::{
+        ControlRing, MembershipLinks, MembershipSettings, connect,
+        view::{ClusterView, ViewChange},
+    },
     banyansill_core::{event::EventNumber, names::SharedName, route::RouteTable},
     banyansill_runtime::events::EventSink,
     banyansill_wire::v1::{self, control_client::ControlClient},
@@ -55,7 +58,10 @@
         loop {
             let Some(address) = self.ring.advance() else { return };
             match self.open(&address).await {
-                Some(stream) => self.follow(stream).await,
+                Some(stream) => {
+                    self.view.restart();
+                    self.follow(stream).await;
+                }
                 None => log::debug!("watch at {address}: not opened"),
             }
             sleep(RETRY_PAUSE).await;
@@ -93,8 +99,10 @@
     }
 
     fn apply(&mut self, reply: &v1::WatchReply) -> bool {
-        if !self.view.apply(reply) {
-            return false;
+        match self.view.apply(reply) {
+            ViewChange::Complete => {}
+            ViewChange::Partial => return true,
+            ViewChange::Refused => return false,
         }
         let table = Arc::new(self.view.table());
         if table.sheet_number > self.sheet_number {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -399,7 +399,9 @@
         term: LogTerm(3),
         primary: Some("p".into()),
         closed: false,
+        planned: false,
         candidate: None,
+        candidate_term: LogTerm(0),
         history: Vec::new(),
         targets: vec![
             target("far", TargetRole::Replica, "r2", "z2"),
