--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod history;
 pub mod process;
 pub mod proxy;
+pub mod usage;
 pub mod workload;
