fix(entry): finish running writes on a planned change of primary, and tell crossing callers

Cause: a planned close of a term ended running writes with an unknown outcome; a repeated attempt to promote was ordered under the wrong term; a watch reply in parts advanced the version too early; a caller whose request crossed a planned stop lost the reason to a connection reset; and the session tests could not fail without floors, since young replicas were too old for any read. Change: the broker reports a planned close as fenced once its writers have ended; the candidate's own term is used, and the position at which its term begins is reported; partial replies are staged; input is discarded for 250 ms after the last error; the session tests wait until replicas serve.

--- a/crates/banyansill/tests/sessions.rs
+++ b/crates/banyansill/tests/sessions.rs
@@ -9,8 +9,17 @@
 
 const LAG: Duration = Duration::from_secs(5);
 
+/// Returns a cluster whose replicas already serve reads, 5 s old.
+///
+/// A replica that has replayed nothing yet is too old for any read, which would hide a missing floor.
 async fn lagging() -> TestCluster {
-    TestCluster::spawn(ClusterPlan { lag_ms: 5_000, ..ClusterPlan::default() }).await.unwrap()
+    let plan = ClusterPlan { lag_ms: 5_000, ..ClusterPlan::default() };
+    let cluster = TestCluster::spawn(plan).await.unwrap();
+    let caller = cluster.caller(0, "test").await.unwrap();
+    caller.batch_execute("CREATE TABLE orders (id bigint PRIMARY KEY)").await.unwrap();
+    caller.batch_execute("CREATE TABLE stock (id bigint PRIMARY KEY)").await.unwrap();
+    tokio::time::sleep(LAG + Duration::from_secs(1)).await;
+    cluster
 }
 
 /// Guards against a read that goes to a replica which has not replayed the session's own write.
@@ -18,7 +27,6 @@
 async fn caller_sees_its_write_under_lag() {
     let cluster = lagging().await;
     let caller = cluster.caller(0, "coordinator").await.unwrap();
-    caller.batch_execute("CREATE TABLE orders (id bigint PRIMARY KEY)").await.unwrap();
     let start = Instant::now();
     for id in 0..5_i64 {
         caller.execute("INSERT INTO orders VALUES ($1)", &[&id]).await.unwrap();
@@ -32,8 +40,6 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_sees_its_write_after_reconnecting_elsewhere() {
     let cluster = lagging().await;
-    let caller = cluster.caller(0, "coordinator").await.unwrap();
-    caller.batch_execute("CREATE TABLE orders (id bigint PRIMARY KEY)").await.unwrap();
     for id in 0..5_i64 {
         let entry = usize::try_from(id).unwrap() % 2;
         let writer = cluster.caller(entry, "coordinator").await.unwrap();
@@ -50,7 +56,6 @@
 async fn confirmed_order_does_not_wait_for_replay() {
     let cluster = lagging().await;
     let caller = cluster.caller(0, "coordinator").await.unwrap();
-    caller.batch_execute("CREATE TABLE orders (id bigint PRIMARY KEY)").await.unwrap();
     let start = Instant::now();
     for id in 0..5_i64 {
         caller.execute("/* kind=order */ INSERT INTO orders VALUES ($1)", &[&id]).await.unwrap();
@@ -63,7 +68,6 @@
 async fn old_enough_reads_go_to_replicas_and_show_older_data() {
     let cluster = lagging().await;
     let writer = cluster.caller(0, "coordinator").await.unwrap();
-    writer.batch_execute("CREATE TABLE stock (id bigint PRIMARY KEY)").await.unwrap();
     writer.batch_execute("INSERT INTO stock VALUES (1)").await.unwrap();
     tokio::time::sleep(LAG + Duration::from_secs(1)).await;
     // This caller connects before the second row is written, so it may be served without it.
--- a/crates/control/examples/leader_cost.rs
+++ b/crates/control/examples/leader_cost.rs
@@ -80,6 +80,7 @@
         }),
         sequence,
         applied_version: APPLIED,
+        stamp: None,
         sheet_number: 1_000,
         reports: Vec::new(),
     };
--- a/crates/control/examples/state_cost.rs
+++ b/crates/control/examples/state_cost.rs
@@ -328,7 +328,9 @@
             term: LogTerm(group.term),
             primary: group.primary.as_ref().map(|name| SharedName::from(name.as_str())),
             closed: false,
+            planned: false,
             candidate: None,
+            candidate_term: LogTerm(0),
             history: vec![TermStart { term: LogTerm(1), start: LogPosition::ZERO }],
             targets,
         };
--- a/crates/entry/src/broker/pump.rs
+++ b/crates/entry/src/broker/pump.rs
@@ -154,12 +154,18 @@
     fn flush_outbox(&mut self) -> Result<(), GrantEnd> {
         while let Some(message) = self.outbox.pop_front() {
             let writes = self.writes();
-            let term = LogTerm(self.request.term);
+            let term = self.request.term;
+            let granting = matches!(message, LinkOutput::Granted { .. });
             let gate = self.gate.borrow();
             let checked = self.shared.view(&gate, |view| {
+                let refused = if granting {
+                    view.check_write(LogTerm(term)).is_err()
+                } else {
+                    gate.closed_for(term)
+                };
                 if !view.leased {
                     Err(FailureKind::LeaseLost)
-                } else if writes && view.check_write(term).is_err() {
+                } else if writes && refused {
                     Err(FailureKind::PrimaryReplaced)
                 } else {
                     Ok(())
@@ -168,7 +174,7 @@
             if let Err(kind) = checked {
                 drop(gate);
                 self.outbox.clear();
-                return Err(if matches!(message, LinkOutput::Granted { .. }) {
+                return Err(if granting {
                     self.interrupted(kind)
                 } else {
                     GrantEnd::lost(kind, "the answer arrived too late to be passed on")
--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -22,6 +22,9 @@
     },
 };
 
+/// Time for which input is discarded after the last error, so that a crossing request's caller reads it.
+const CLOSE_WAIT: Duration = Duration::from_millis(250);
+
 /// Bytes of a batch above which it is sent to the target before its Sync has come.
 pub(super) const BATCH_LIMIT: usize = 1 << 20;
 
@@ -183,6 +186,9 @@
         if stream.put(&buffer).is_ok() {
             let _ = timeout(stream.stall, stream.io.flush(true)).await;
         }
+        // Closing a socket with unread input resets it, and the caller would lose the reason.
+        let discard = async { while let Ok(Some(_)) = stream.next().await {} };
+        let _ = timeout(CLOSE_WAIT, discard).await;
     }
     match end {
         SessionEnd::Stalled => stream.io.terminate(),
