--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -143,6 +143,9 @@
         if !reply.accepted {
             return Err(io::Error::other(format!("sheet refused: {reply:?}")));
         }
+        for target in &cluster.targets {
+            cluster.wait_target(target).await?;
+        }
         for index in 0..cluster.entries.len() {
             cluster.wait_serving(index).await?;
         }
@@ -201,6 +204,20 @@
         Err(io::Error::new(io::ErrorKind::TimedOut, format!("sheet not accepted: {reason}")))
     }
 
+    /// Waits until a server accepts connections; a server that failed to start would only be missed
+    /// once the others leave.
+    async fn wait_target(&self, target: &TestTarget) -> io::Result<()> {
+        let end = Instant::now() + READY_LIMIT;
+        while connect(target.address, "test").await.is_err() {
+            if Instant::now() > end {
+                let message = format!("{} does not accept connections", target.name);
+                return Err(io::Error::new(io::ErrorKind::TimedOut, message));
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
     /// Waits until an entry serves a read and a write transaction.
     ///
     /// # Errors
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -8,9 +8,10 @@
     std::{
         fs::File,
         io,
-        net::{SocketAddr, TcpListener},
+        net::{Ipv4Addr, SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
     tokio::time::sleep,
@@ -134,11 +135,30 @@
     Err(io::Error::new(io::ErrorKind::NotFound, message))
 }
 
-/// Returns a loopback address whose port was free just now.
+/// First port that is handed out, and their number.
+///
+/// They lie below the range from which the system takes ports of outgoing connections; a port from
+/// that range could be taken again before the process that it is meant for binds it.
+const PORTS: (u16, u16) = (20_000, 12_000);
+
+/// Ports handed out by this process.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a loopback address whose port is free and is not handed out again for a long time.
 ///
 /// # Errors
 ///
 /// Returns an error if no port is free.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let (first, count) = PORTS;
+    // Test programs that run at the same time start in different places.
+    let start = u16::try_from(std::process::id() % 97).unwrap_or_default() * 120;
+    for _ in 0..count {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = first + start.wrapping_add(step) % count;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free"))
 }
