perf(entry): send a heartbeat out of turn only for news, and spread entries over the replicas

Cause: each probe woke a heartbeat although only a position had risen, which passed 6 KB/s at 13 to 18 targets; and every entry watched the first control address of its settings. Change: only reports that control waits for are sent out of turn; the first address depends on the host. The load tool takes both forms of connection strings.

--- a/crates/entry/src/membership/heartbeat.rs
+++ b/crates/entry/src/membership/heartbeat.rs
@@ -35,6 +35,8 @@
     client: Option<(SharedName, ControlClient<Channel>)>,
     sequence: u64,
     held: bool,
+    /// Reports of the last heartbeat.
+    sent: Vec<v1::TargetReport>,
 }
 
 impl HeartbeatTask {
@@ -45,7 +47,7 @@
         drain: watch::Receiver<bool>,
         committed: watch::Sender<u64>,
     ) -> Self {
-        let ring = ControlRing::new(settings.control.clone());
+        let ring = ControlRing::new(settings.control.clone(), &settings.entry.host);
         Self {
             settings,
             links,
@@ -56,6 +58,7 @@
             client: None,
             sequence: 0,
             held: false,
+            sent: Vec::new(),
         }
     }
 
@@ -69,7 +72,12 @@
             // A closed channel never changes again; its branch then stays silent.
             tokio::select! {
                 _ = ticks.tick() => {}
-                Ok(()) = reports.changed() => tokio::time::sleep(URGENT_GAP).await,
+                Ok(()) = reports.changed() => {
+                    if !self.is_urgent(&reports.borrow_and_update()) {
+                        continue;
+                    }
+                    tokio::time::sleep(URGENT_GAP).await;
+                }
                 Ok(()) = routes.changed() => tokio::time::sleep(URGENT_GAP).await,
                 Ok(()) = drain.changed() => {}
             }
@@ -80,11 +88,31 @@
         }
     }
 
+    /// Returns whether control waits for these reports.
+    ///
+    /// Positions rise all the time and can wait for the next regular heartbeat; sending each rise used
+    /// up the control traffic of an entry at 13 to 18 targets.
+    fn is_urgent(&self, reports: &[v1::TargetReport]) -> bool {
+        if reports.len() != self.sent.len() {
+            return true;
+        }
+        let table = self.routes.borrow();
+        for (report, sent) in reports.iter().zip(&self.sent) {
+            let route = table.databases.get(report.database.as_str());
+            let changing = route.is_none_or(|route| route.closed || route.candidate.is_some());
+            if changing || !report.reachable || fixed_part(report) != fixed_part(sent) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Sends one heartbeat; on failure the next one goes to another replica on a new connection.
     async fn beat(&mut self) {
         let Some((address, mut client)) = self.client() else { return };
         self.sequence += 1;
         let request = self.request();
+        self.sent.clone_from(&request.reports);
         let sent = self.links.clock.now();
         let reply = match timeout(REPLY_TIMEOUT, client.heartbeat(request)).await {
             Ok(Ok(reply)) => reply.into_inner(),
@@ -164,3 +192,13 @@
         self.links.events.record(number, &[]);
     }
 }
+
+/// Returns a report without what changes from probe to probe.
+fn fixed_part(report: &v1::TargetReport) -> v1::TargetReport {
+    v1::TargetReport {
+        position: None,
+        unreachable_ms: 0,
+        open_connections: u32::from(report.open_connections > 0),
+        ..report.clone()
+    }
+}
--- a/crates/entry/src/membership/mod.rs
+++ b/crates/entry/src/membership/mod.rs
@@ -9,7 +9,11 @@
     banyansill_core::{names::SharedName, route::RouteTable},
     banyansill_runtime::{clock::MonotonicClock, events::EventSink},
     banyansill_wire::v1,
-    std::{sync::Arc, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{sync::watch as channel, task::JoinHandle},
     tonic::transport::{Channel, Endpoint},
 };
@@ -100,8 +104,13 @@
 }
 
 impl ControlRing {
-    const fn new(addresses: Vec<SharedName>) -> Self {
-        Self { addresses, next: 0 }
+    /// Starts at an address that depends on the host, so that entries spread over the replicas.
+    fn new(addresses: Vec<SharedName>, host: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        host.hash(&mut hasher);
+        let spread = u64::try_from(addresses.len()).unwrap_or_default().max(1);
+        let next = usize::try_from(hasher.finish() % spread).unwrap_or_default();
+        Self { addresses, next }
     }
 
     fn advance(&mut self) -> Option<SharedName> {
--- a/crates/entry/src/membership/watch.rs
+++ b/crates/entry/src/membership/watch.rs
@@ -45,7 +45,7 @@
     ) -> Self {
         Self {
             host: SharedName::from(settings.entry.host.as_str()),
-            ring: ControlRing::new(settings.control.clone()),
+            ring: ControlRing::new(settings.control.clone(), &settings.entry.host),
             view: ClusterView::default(),
             publisher: links.routes.clone(),
             committed,
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -97,7 +97,7 @@
 ///
 /// Returns an error if the tables cannot be created.
 pub async fn prepare(url: &str, mix: &RequestMix) -> Result<(), Error> {
-    let client = connect(&format!("{url} application_name=setup")).await?;
+    let client = connect(url, "setup").await?;
     for statement in mix.setup {
         client.batch_execute(statement).await?;
     }
@@ -132,8 +132,7 @@
         let mut senders = Vec::new();
         for number in 0..plan.sessions {
             let url = &urls[number % urls.len()];
-            let url = format!("{url} application_name={}", entry.application);
-            let client = connect(&url).await?;
+            let client = connect(url, entry.application).await?;
             let statement = client.prepare(entry.statement).await?;
             let (sender, arrivals) = mpsc::unbounded_channel();
             senders.push(sender);
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -4,7 +4,7 @@
     hdrhistogram::Histogram,
     std::time::{Duration, Instant},
     tokio::task::JoinSet,
-    tokio_postgres::{Client, Error, NoTls},
+    tokio_postgres::{Client, Config, Error, NoTls},
 };
 
 /// Figures of one run.
@@ -18,13 +18,15 @@
     pub latency: Histogram<u64>,
 }
 
-/// Connects a caller.
+/// Connects a caller of an application; `url` may have either form of a connection string.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection is refused.
-pub async fn connect(url: &str) -> Result<Client, Error> {
-    let (client, connection) = tokio_postgres::connect(url, NoTls).await?;
+pub async fn connect(url: &str, application: &str) -> Result<Client, Error> {
+    let mut config: Config = url.parse()?;
+    config.application_name(application);
+    let (client, connection) = config.connect(NoTls).await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             eprintln!("connection: {error}");
@@ -42,7 +44,7 @@
     let mut tasks = JoinSet::new();
     let mut clients = Vec::new();
     for _ in 0..callers {
-        clients.push(connect(url).await?);
+        clients.push(connect(url, "overhead").await?);
     }
     let start = Instant::now();
     for client in clients {
