fix(control): take test ports from below the range of outgoing connections

Cause: a restarted replica could not bind its port again, since an outgoing connection had taken it. Change: the tests of the control crate use the testkit's ports.

--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -13,6 +13,7 @@
         names::SharedName,
     },
     banyansill_runtime::events::EventSink,
+    banyansill_testkit::process,
     std::{
         path::Path,
         time::{Duration, Instant},
@@ -99,9 +100,8 @@
     }
 }
 
-async fn free_address() -> SharedName {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    SharedName::from(listener.local_addr().unwrap().to_string())
+fn free_address() -> SharedName {
+    SharedName::from(process::free_address().unwrap().to_string())
 }
 
 fn settings(member: &InitialMember, all: &[InitialMember], folder: &Path) -> ReplicaSettings {
@@ -129,7 +129,7 @@
         let mut members = Vec::new();
         for number in 0..size {
             let host = SharedName::from(format!("host-{number}"));
-            members.push(InitialMember { host, address: free_address().await });
+            members.push(InitialMember { host, address: free_address() });
         }
         let mut cluster = Self { folder, members, hosts: Vec::new() };
         for number in 0..size {
@@ -325,7 +325,7 @@
     assert!(matches!(foreign, Err(MemberError::Invalid(_))), "{foreign:?}");
     for number in 1..3 {
         let host = SharedName::from(format!("host-{number}"));
-        let member = InitialMember { host, address: free_address().await };
+        let member = InitialMember { host, address: free_address() };
         let mut settings = settings(&member, &cluster.members, cluster.folder.path());
         settings.join = true;
         cluster.members.push(member.clone());
@@ -394,8 +394,8 @@
     let (silence, generation) = watch::channel(0);
     let (mut members, mut listeners) = (Vec::new(), Vec::new());
     for number in 0..3 {
-        let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let back = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let front = TcpListener::bind(process::free_address().unwrap()).await.unwrap();
+        let back = TcpListener::bind(process::free_address().unwrap()).await.unwrap();
         let address = SharedName::from(front.local_addr().unwrap().to_string());
         let target = SharedName::from(back.local_addr().unwrap().to_string());
         tokio::spawn(relay(front, target, generation.clone()));
--- a/crates/control/tests/service_replicas.rs
+++ b/crates/control/tests/service_replicas.rs
@@ -10,6 +10,7 @@
         service::LEADER_KEY,
         settings::{ControlSettings, PeerSettings},
     },
+    banyansill_testkit::process::free_address,
     banyansill_wire::v1::{self, control_client::ControlClient},
     common::{FakeEntry, SHEET, announcement, entry, eventually, settings},
     std::net::{SocketAddr, TcpListener},
@@ -26,7 +27,7 @@
 impl Replicas {
     async fn start() -> Self {
         let held: Vec<TcpListener> =
-            (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+            (0..3).map(|_| TcpListener::bind(free_address().unwrap()).unwrap()).collect();
         let mut peers = Vec::new();
         for (number, listener) in held.iter().enumerate() {
             let host = format!("control-{number}").into();
