refactor(entry): give the Run stream a concrete type

Cause: a boxed stream with dynamic dispatch stood on the request path of forwarded grants. Change: the stream is a named map over the receiver; behaviour is unchanged.

--- a/crates/entry/src/broker/service.rs
+++ b/crates/entry/src/broker/service.rs
@@ -6,22 +6,29 @@
         frame::MESSAGE_LIMIT,
         hub::{BrokerHandle, HubShared},
     },
-    crate::link::{self, GrantLink, LinkInput},
+    crate::link::{self, GrantLink, LinkInput, LinkOutput},
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
     banyansill_wire::v1::{
         self,
         broker_input::Input,
         broker_server::{Broker, BrokerServer},
     },
-    std::{pin::Pin, sync::Arc},
+    futures::stream::{Map, StreamExt},
+    std::sync::Arc,
     tokio::sync::mpsc,
-    tokio_stream::{Stream, StreamExt, wrappers::ReceiverStream},
+    tokio_stream::wrappers::ReceiverStream,
     tonic::{Request, Response, Status, Streaming},
 };
 
 /// Longest wait of one `AwaitPosition` call.
 const POSITION_WAIT_LIMIT: Micros = Micros::from_secs(60);
 
+type RunItem = Result<v1::BrokerOutput, Status>;
+
+fn run_item(output: LinkOutput) -> RunItem {
+    Ok(output_to_wire(output))
+}
+
 /// Serves other entries' grants at the brokers of this host.
 #[derive(Clone, Debug)]
 pub struct BrokerService {
@@ -39,7 +46,7 @@
 
 #[tonic::async_trait]
 impl Broker for BrokerService {
-    type RunStream = Pin<Box<dyn Stream<Item = Result<v1::BrokerOutput, Status>> + Send + 'static>>;
+    type RunStream = Map<ReceiverStream<LinkOutput>, fn(LinkOutput) -> RunItem>;
 
     async fn run(
         &self,
@@ -54,8 +61,8 @@
         let (GrantLink { input, output }, peer) = link::pair(request_from_wire(open));
         self.shared.serve(peer);
         tokio::spawn(forward(stream, input));
-        let answers = ReceiverStream::new(output).map(|output| Ok(output_to_wire(output)));
-        Ok(Response::new(Box::pin(answers)))
+        let answers = ReceiverStream::new(output).map(run_item as fn(LinkOutput) -> RunItem);
+        Ok(Response::new(answers))
     }
 
     async fn high_water_mark(
