--- a/crates/standin/src/bin/banyansill-standin.rs
+++ b/crates/standin/src/bin/banyansill-standin.rs
@@ -46,6 +46,7 @@
         }
     };
     if flags.check {
+        println!("{}: no faults", path.display());
         return Ok(());
     }
     let _logs = LogHandle::open(&settings.log, None)?;
