fix(entry): ask a replica's present broker for the confirmation of a commit

Cause: confirm_any kept the route of the moment of the commit. A replica without a broker at that moment, or whose broker moved, was never asked again where it now is, so the commit waited for its whole deadline; a planned change of primary waited with it, until the leaving server ended and cut it off. Ruled out: a stall of replication (the replicas held the commits), of the slot queue (six writes hung, five slots) and of the leaving itself (the gap began before it). Change: the questions start again when the database's route changes. A leaving stand-in waits for its running statements and, as a primary under control, for its successor, up to leave_limit_ms.

--- a/crates/entry/src/broker/position.rs
+++ b/crates/entry/src/broker/position.rs
@@ -4,14 +4,15 @@
     super::{hub::HubShared, target::TargetShared},
     banyansill_core::{
         broker::{FloorVerdict, compare_floor},
+        names::SharedName,
         position::LogPosition,
-        route::{TargetRole, TargetRoute},
+        route::{DatabaseRoute, RouteTable, TargetRole, TargetRoute},
         time::Micros,
     },
     futures::{StreamExt, stream::FuturesUnordered},
     std::{sync::Arc, time::Duration},
     tokio::{
-        sync::oneshot,
+        sync::{oneshot, watch},
         time::{Instant, sleep, timeout_at},
     },
 };
@@ -79,13 +80,33 @@
         position: LogPosition,
         span: Micros,
     ) -> bool {
-        let route = shared.gate.borrow().route.clone();
         let until = Instant::now() + span.as_duration();
+        let mut routes = self.routes.clone();
+        loop {
+            let route = routes.borrow_and_update().databases.get(&shared.database).cloned();
+            let Some(route) = route else { return false };
+            // A target whose broker has changed is asked again: the broker known at the commit may
+            // never answer for it, and the caller would wait until the deadline.
+            tokio::select! {
+                confirmed = self.ask_group(shared, &route, position, until) => return confirmed,
+                () = route_changed(&mut routes, &shared.database, &route) => {}
+            }
+        }
+    }
+
+    async fn ask_group(
+        &self,
+        shared: &TargetShared,
+        route: &DatabaseRoute,
+        position: LogPosition,
+        until: Instant,
+    ) -> bool {
         let mut questions = FuturesUnordered::new();
         for target in &route.targets {
-            if target.server != shared.server {
-                questions.push(self.ask_until(shared, target, position, until));
+            if target.server == shared.server {
+                continue;
             }
+            questions.push(self.ask_until(shared, target, position, until));
         }
         while let Some(reached) = questions.next().await {
             if reached {
@@ -131,3 +152,17 @@
         }
     }
 }
+
+/// Waits until the route of a database differs from `known`; never returns once routes have ended.
+async fn route_changed(
+    routes: &mut watch::Receiver<Arc<RouteTable>>,
+    database: &SharedName,
+    known: &Arc<DatabaseRoute>,
+) {
+    let differs = |table: &Arc<RouteTable>| {
+        table.databases.get(database).is_none_or(|route| !Arc::ptr_eq(route, known))
+    };
+    if routes.wait_for(differs).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/entry/tests/broker_remote.rs
+++ b/crates/entry/tests/broker_remote.rs
@@ -8,13 +8,13 @@
     banyansill_core::{failure::FailureKind, position::LogPosition, time::Micros},
     banyansill_entry::link::{GrantRouter, LinkInput},
     broker_support::{
-        Outcome, TestHost, fake::FakeTarget, name, once, outcome, read, run, send, step, table,
-        target, write,
+        Outcome, TestHost, fake::FakeTarget, name, once, outcome, query, read, run, send, step,
+        table, target, write,
     },
     std::time::Duration,
     tokio::{
         net::{TcpListener, TcpStream},
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -117,6 +117,37 @@
     });
 }
 
+// Guards against a commit whose confirmation keeps asking the broker that the replica had at the time of
+// the commit: the caller then waits until its deadline, and a planned change of primary with it.
+#[test]
+fn replica_ack_follows_a_change_of_the_replicas_broker() {
+    run(async {
+        let hosts = two_hosts().await;
+        let near_address = hosts.near.listen().await;
+        let routes = |broker: &str, version: u64| {
+            let mut routes = table(vec![
+                target("p", &hosts.primary, "far", "127.0.0.1:1"),
+                target("r", &hosts.replica, broker, &near_address),
+            ]);
+            routes.version = version;
+            routes
+        };
+        hosts.far.publish(routes("", 2));
+        hosts.replica.lock().offset = 1_000;
+        let mut request = write("p");
+        request.replica_ack = true;
+        let mut link = hosts.far.handle.open(request);
+        send(&link, LinkInput::Data(query("INSERT"))).await;
+        // The commit has no broker to ask until the assignment arrives.
+        let early = timeout(Duration::from_millis(300), outcome(&mut link)).await;
+        assert!(early.is_err(), "{early:?}");
+        let begun = Instant::now();
+        hosts.far.publish(routes("near", 3));
+        assert_eq!(outcome(&mut link).await.tags(), "C");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    });
+}
+
 /// Relay whose open connections can be made silent while new ones work.
 async fn relay(address: String) -> (String, tokio::sync::watch::Sender<u32>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        announce, replication, session,
+        announce,
+        group::GroupRole,
+        replication, session,
         settings::StandinSettings,
         shared::{ServerAddresses, SharedServer, SilentRange},
         sql::plan::AdminAction,
@@ -14,9 +16,16 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::{
+        net::TcpListener,
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
+/// Interval at which a leaving server looks whether it is still needed.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
 /// Running server; dropping the handle ends it at once.
 #[derive(Debug)]
 #[must_use]
@@ -135,13 +144,25 @@
         self.shared.faults.cut.send_replace(up_to);
     }
 
-    /// Announces that the server is leaving, waits for the time set in its settings and ends it.
+    /// Announces that the server is leaving, waits as its settings say and ends it.
     pub async fn stop(self) {
+        let settings = &self.shared.settings;
+        let limit = Instant::now() + Duration::from_millis(settings.leave_limit_ms);
         self.shared.leaving.send_replace(true);
-        tokio::time::sleep(Duration::from_millis(self.shared.settings.leave_ms)).await;
+        sleep(Duration::from_millis(settings.leave_ms)).await;
+        while self.is_needed() && Instant::now() < limit {
+            sleep(LEAVE_POLL).await;
+        }
         self.kill().await;
     }
 
+    /// Returns whether an end now would cut off statements or leave the group without a primary.
+    fn is_needed(&self) -> bool {
+        let controlled = !self.shared.settings.control.is_empty();
+        let primary = self.shared.read().role == GroupRole::Primary;
+        (controlled && primary) || self.shared.gate.running() > 0
+    }
+
     /// Ends the server at once, as a crash does.
     pub async fn kill(mut self) {
         self.shared.ended.send_replace(true);
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -7,7 +7,7 @@
 //!     "region": "red-river", "zone": "selkirk-yard",
 //!     "role": "replica", "follow": "127.0.0.1:6001", "term": 1,
 //!     "slots": 5, "connections": 70, "connection_cost_ms": 12, "statement_cost_us": 0,
-//!     "lag_ms": 200, "log_entries": 50000, "leave_ms": 3000,
+//!     "lag_ms": 200, "log_entries": 50000, "leave_ms": 3000, "leave_limit_ms": 30000,
 //!     "control": ["127.0.0.1:7001", "127.0.0.1:7002"],
 //!     "log": "info"
 //! }
@@ -74,8 +74,11 @@
     pub log_entries: u64,
     /// HTTP addresses of control replicas.
     pub control: Vec<SocketAddr>,
-    /// Time between the announcement that the server is leaving and its end.
+    /// Least time between the announcement that the server is leaving and its end.
     pub leave_ms: u64,
+    /// Greatest time between them; until then the server waits for its running statements, and for its
+    /// successor if it is the primary of a group under control.
+    pub leave_limit_ms: u64,
     /// Levels of the log.
     pub log: String,
 }
@@ -104,6 +107,7 @@
             log_entries: 50_000,
             control: Vec::new(),
             leave_ms: 3_000,
+            leave_limit_ms: 30_000,
             log: "info".to_owned(),
         }
     }
@@ -159,6 +163,8 @@
         settings.log_entries =
             reader.number("log_entries", settings.log_entries, 1, LOG_ENTRIES_LIMIT);
         settings.leave_ms = reader.number("leave_ms", settings.leave_ms, 0, DELAY_LIMIT_MS);
+        settings.leave_limit_ms =
+            reader.number("leave_limit_ms", settings.leave_limit_ms, 0, DELAY_LIMIT_MS);
         settings.control = reader.list("control");
         if let Some(log) = reader.optional_string("log") {
             settings.log = log;
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -67,6 +67,11 @@
         self.max_running.fetch_max(running, Ordering::Relaxed);
         Some(StatementPass { running: self.running.clone(), _permit: permit })
     }
+
+    /// Returns how many statements execute now.
+    pub fn running(&self) -> u64 {
+        self.running.load(Ordering::Relaxed)
+    }
 }
 
 /// Connections that answer nothing while they stay open.
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -81,6 +81,8 @@
     let mut settings = settings(StartRole::Primary);
     settings.control = vec![dead.local_addr().unwrap(), control.local_addr().unwrap()];
     settings.leave_ms = 1_200;
+    // Nobody here replaces this primary.
+    settings.leave_limit_ms = 1_200;
     drop(dead);
     let server = banyansill_standin::spawn(settings).await.unwrap();
     let first = announcement(&control).await;
