--- a/crates/banyansill/examples/entry_cost.rs
+++ b/crates/banyansill/examples/entry_cost.rs
@@ -71,6 +71,7 @@
         callers: CallerSettings::new(ANY_PORT, region, zone),
         peer_listen: ANY_PORT,
         admin_listen: ANY_PORT,
+        tokens: None,
         control: vec![control],
         target_user: "banyansill".to_owned(),
         drain_bound: Duration::from_secs(1),
--- a/crates/banyansill/src/solo.rs
+++ b/crates/banyansill/src/solo.rs
@@ -122,6 +122,7 @@
         callers: CallerSettings::new(settings.listen, region, zone),
         peer_listen: ANY_PORT,
         admin_listen: ANY_PORT,
+        tokens: None,
         control: vec![control],
         target_user: "banyansill".to_owned(),
         drain_bound: Duration::from_secs(5),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,7 +5,9 @@
     std::{collections::VecDeque, error::Error, net::SocketAddr, time::Duration},
     tokio::time::{self, Instant},
     tonic::{
-        Code, Response, Status,
+        Code, Request, Response, Status,
+        metadata::{Ascii, MetadataValue},
+        service::{Interceptor, interceptor::InterceptedService},
         transport::{Channel, Endpoint},
     },
 };
@@ -62,25 +64,45 @@
     Refused(String),
 }
 
-/// Addresses of control replicas.
+/// Adds the operator's token to each request.
+#[derive(Clone, Debug)]
+pub(crate) struct BearerToken(Option<MetadataValue<Ascii>>);
+
+impl Interceptor for BearerToken {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        if let Some(value) = &self.0 {
+            request.metadata_mut().insert("authorization", value.clone());
+        }
+        Ok(request)
+    }
+}
+
+/// Client that sends the operator's token.
+pub(crate) type OperatorClient = ControlClient<InterceptedService<Channel, BearerToken>>;
+
+/// Addresses of control replicas and the operator's token.
 #[derive(Clone, Debug)]
 pub struct ControlAccess {
     addresses: Vec<String>,
+    token: BearerToken,
 }
 
 impl ControlAccess {
-    pub(crate) fn new(addresses: &[String]) -> Self {
+    /// Returns access without a token if `token` is `None`.
+    pub(crate) fn new(addresses: &[String], token: Option<&str>) -> Self {
+        // A token that is not printable text is in no token file; control refuses the request.
+        let token = token.and_then(|token| format!("Bearer {token}").parse().ok());
         let mut addresses = addresses.to_vec();
         if addresses.is_empty() {
             addresses.push(DEFAULT_ADDRESS.to_owned());
         }
-        Self { addresses }
+        Self { addresses, token: BearerToken(token) }
     }
 
     /// Calls the leader; `request` must be safe to repeat.
     pub(crate) async fn call<T, F>(&self, mut request: F) -> Result<T, ClientError>
     where
-        F: AsyncFnMut(ControlClient<Channel>) -> Result<Response<T>, Status>,
+        F: AsyncFnMut(OperatorClient) -> Result<Response<T>, Status>,
     {
         for address in &self.addresses {
             if address.parse::<SocketAddr>().is_err() {
@@ -109,7 +131,7 @@
     /// Tries every address once, and each leader that is named.
     async fn round<T, F>(&self, request: &mut F, uncertain: &mut bool) -> Result<T, ClientError>
     where
-        F: AsyncFnMut(ControlClient<Channel>) -> Result<Response<T>, Status>,
+        F: AsyncFnMut(OperatorClient) -> Result<Response<T>, Status>,
     {
         let mut queue: VecDeque<String> = self.addresses.iter().cloned().collect();
         let mut tried = Vec::new();
@@ -120,7 +142,7 @@
                 continue;
             }
             tried.push(address.clone());
-            let client = match connect(&address).await {
+            let client = match connect(&address, self.token.clone()).await {
                 Ok(client) => client,
                 Err(detail) => {
                     last = detail;
@@ -158,11 +180,14 @@
     }
 }
 
-async fn connect(address: &str) -> Result<ControlClient<Channel>, String> {
+async fn connect(address: &str, token: BearerToken) -> Result<OperatorClient, String> {
     let endpoint =
         Endpoint::from_shared(format!("http://{address}")).map_err(|error| error.to_string())?;
     match time::timeout(CONNECT_LIMIT, endpoint.connect()).await {
-        Ok(Ok(channel)) => Ok(ControlClient::new(channel).max_decoding_message_size(REPLY_LIMIT)),
+        Ok(Ok(channel)) => {
+            let client = ControlClient::with_interceptor(channel, token);
+            Ok(client.max_decoding_message_size(REPLY_LIMIT))
+        }
         Ok(Err(_)) => Err(format!("{address} refused the connection")),
         Err(_) => Err(format!("{address} did not answer")),
     }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -12,6 +12,8 @@
     cmd banyansill {
         /// Address of a control replica, IP and port; may be given several times. Default 127.0.0.1:7400.
         repeated --control address: String
+        /// File that holds the operator's token; needed where control has a token file.
+        optional --token-file file: PathBuf
         /// Prints JSON instead of tables.
         optional --json
         /// Prints the version.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,9 +16,19 @@
 use {
     client::{ClientError, ControlAccess},
     flags::{Banyansill, BanyansillCmd},
-    std::ffi::OsString,
+    std::{ffi::OsString, fs, path::Path},
 };
 
+/// Reads the token from a file, so that no list of processes shows it.
+fn read_token(path: &Path) -> Result<String, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let token = text.trim();
+    if token.is_empty() || token.contains(char::is_whitespace) {
+        return Err(format!("{}: expected one token", path.display()));
+    }
+    Ok(token.to_owned())
+}
+
 /// Runs one command with the arguments after the program's name.
 pub fn run(arguments: Vec<OsString>) -> CommandOutput {
     let flags = match Banyansill::from_vec(arguments) {
@@ -29,6 +39,11 @@
     if flags.version {
         return CommandOutput::text(format!("banyansill {}\n", env!("CARGO_PKG_VERSION")));
     }
+    let token = match flags.token_file.as_deref().map(read_token).transpose() {
+        Ok(token) => token,
+        Err(message) => return CommandOutput::usage(&message),
+    };
+    let token = token.as_deref();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -39,13 +54,13 @@
             return CommandOutput::usage("a command is required; see --help");
         }
         // The HTTP client brings a runtime of its own.
-        BanyansillCmd::Timeline(command) => return timeline::run(&command, flags.json),
+        BanyansillCmd::Timeline(command) => return timeline::run(&command, token, flags.json),
         BanyansillCmd::Sheet(command) => {
-            let access = ControlAccess::new(&flags.control);
+            let access = ControlAccess::new(&flags.control, token);
             runtime.block_on(sheets::run(command, &access, flags.json))
         }
         command => {
-            let access = ControlAccess::new(&flags.control);
+            let access = ControlAccess::new(&flags.control, token);
             runtime.block_on(commands::run(command, &access, flags.json))
         }
     };
--- a/crates/cli/src/sheets.rs
+++ b/crates/cli/src/sheets.rs
@@ -9,7 +9,7 @@
     },
     banyansill_core::{
         cluster::sheet_digest,
-        sheet::{COLUMNS, FAULT_LIMIT, RuleSheet, SHEET_LIMIT, SheetFault, SheetRule},
+        sheet::{COLUMNS, FAULT_LIMIT, RuleSheet, SHEET_LIMIT, SheetFault},
     },
     banyansill_wire::v1,
     serde::Serialize,
@@ -109,30 +109,11 @@
     new: String,
 }
 
-/// Returns the values of a rule in the order of the columns.
-fn values(rule: &SheetRule) -> Vec<String> {
-    let word = |value: &dyn std::fmt::Debug| format!("{value:?}").to_lowercase();
-    let millis = |value: banyansill_core::time::Micros| value.as_millis().to_string();
-    vec![
-        rule.database.to_string(),
-        rule.application.to_string(),
-        rule.kind.to_string(),
-        word(&rule.access),
-        word(&rule.targets),
-        rule.max_age.map(millis).unwrap_or_default(),
-        word(&rule.ack),
-        if rule.repeatable { "yes" } else { "no" }.to_owned(),
-        rule.priority.to_string(),
-        millis(rule.deadline),
-        rule.max_concurrent.map(|limit| limit.to_string()).unwrap_or_default(),
-    ]
-}
-
-fn rules_by_key(sheet: &RuleSheet) -> BTreeMap<RuleKey, Vec<String>> {
+fn rules_by_key(sheet: &RuleSheet) -> BTreeMap<RuleKey, [String; COLUMNS.len()]> {
     let mut rules = BTreeMap::new();
     for rule in sheet.rules() {
         let key = (rule.database.to_string(), rule.application.to_string(), rule.kind.to_string());
-        rules.insert(key, values(rule));
+        rules.insert(key, rule.fields());
     }
     rules
 }
--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -19,7 +19,7 @@
 /// Largest reply: the 4,096 events that a process keeps.
 const REPLY_LIMIT: usize = 16 << 20;
 
-pub(crate) fn run(flags: &Timeline, json: bool) -> CommandOutput {
+pub(crate) fn run(flags: &Timeline, token: Option<&str>, json: bool) -> CommandOutput {
     let Some(since) = since_millis(&flags.since, wall_millis()) else {
         let message = format!("{:?} is not an age such as 30s, 10m, 2h or 1d", flags.since);
         return CommandOutput::usage(&message);
@@ -34,7 +34,8 @@
         }
     }
     let system = ntex::rt::System::new("timeline", ntex::rt::DefaultRuntime);
-    let (events, failures) = system.block_on(collect(addresses, since));
+    let (events, failures) =
+        system.block_on(collect(addresses, token.map(ToOwned::to_owned), since));
     let events = merge(events, flags.database.as_deref());
     let text = || {
         let rows = events.iter().map(|event| {
@@ -74,11 +75,15 @@
     Some(now.saturating_sub(age))
 }
 
-async fn collect(addresses: Vec<String>, since: u64) -> (Vec<EventRecord>, Vec<String>) {
+async fn collect(
+    addresses: Vec<String>,
+    token: Option<String>,
+    since: u64,
+) -> (Vec<EventRecord>, Vec<String>) {
     let mut events = Vec::new();
     let mut failures = Vec::new();
     for address in addresses {
-        match fetch(&address, since).await {
+        match fetch(&address, token.as_deref(), since).await {
             Ok(records) => events.extend(records),
             Err(detail) => failures.push(format!("events of {address}: {detail}")),
         }
@@ -86,7 +91,7 @@
     (events, failures)
 }
 
-async fn fetch(address: &str, since: u64) -> Result<Vec<EventRecord>, String> {
+async fn fetch(address: &str, token: Option<&str>, since: u64) -> Result<Vec<EventRecord>, String> {
     let client = Client::builder()
         .response_timeout(REQUEST_LIMIT)
         .response_payload_limit(REPLY_LIMIT)
@@ -94,7 +99,11 @@
         .await
         .map_err(|error| format!("{error:?}"))?;
     let url = format!("http://{address}/v1/events?since_ms={since}");
-    let response = client.get(url).send().await.map_err(|error| error.to_string())?;
+    let mut request = client.get(url);
+    if let Some(token) = token {
+        request = request.bearer_auth(token);
+    }
+    let response = request.send().await.map_err(|error| error.to_string())?;
     if !response.status().is_success() {
         return Err(format!("status {}", response.status().as_u16()));
     }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -4,7 +4,10 @@
 
 mod common;
 
-use common::{Cluster, HEADER, READS, WRITES, file, run};
+use {
+    common::{Cluster, HEADER, READS, WRITES, file, run},
+    std::path::Path,
+};
 
 fn path(file: &tempfile::NamedTempFile) -> &str {
     file.path().to_str().unwrap()
@@ -133,3 +136,39 @@
     ];
     insta::assert_snapshot!(steps.join("\n----\n"));
 }
+
+/// Guards against a token that does not reach control, and against a token file whose fault is found only
+/// when control refuses the request.
+#[test]
+fn token_file_names_the_operator() {
+    let folder = tempfile::tempdir().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let tokens = write("tokens", "ada 0123456789abcdef\nbo 1123456789abcdef databases=a\n");
+    let cluster = Cluster::start_with_tokens(Path::new(&tokens));
+    let (ada, bo) = (write("ada", "0123456789abcdef\n"), write("bo", "1123456789abcdef"));
+    let (other, empty) = (write("other", "2123456789abcdef"), write("empty", " \n"));
+    let address = cluster.handle.address().to_string();
+    let code = |token_file: &str, command: &[&str]| {
+        let mut arguments = vec!["--control", address.as_str(), "--token-file", token_file];
+        arguments.extend_from_slice(command);
+        run(&arguments).code
+    };
+    assert_eq!(code(&ada, &["status"]), 0);
+    assert_eq!(code(&other, &["status"]), 1);
+    assert_eq!(code(&empty, &["status"]), 2);
+    assert_eq!(code("/nonexistent/token", &["status"]), 2);
+    assert_eq!(run(&["--control", &address, "status"]).code, 1);
+    assert_eq!(code(&bo, &["drain", "entry", "entry-1"]), 1);
+    let sheet = write("sheet.csv", include_str!("../../../examples/magnolia/sheet.csv"));
+    assert_eq!(code(&bo, &["sheet", "apply", &sheet, "--number", "1"]), 1);
+    assert_eq!(code(&ada, &["sheet", "apply", &sheet, "--number", "1", "--operator", "bo"]), 0);
+    let arguments = ["--control", &address, "--token-file", &ada, "--json", "sheet", "history"];
+    assert!(run(&arguments).text.contains("\"operator\": \"ada\""));
+    let admin = cluster.handle.http_address().to_string();
+    assert_eq!(code(&ada, &["timeline", "--since", "1h", "--admin", &admin]), 0);
+    assert_eq!(code(&other, &["timeline", "--since", "1h", "--admin", &admin]), 3);
+}
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -6,7 +6,11 @@
     banyansill_cli::CommandOutput,
     banyansill_control::{ControlHandle, settings::ControlSettings},
     banyansill_wire::v1::{self, control_client::ControlClient},
-    std::{io::Write, time::Duration},
+    std::{
+        io::Write,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
     tempfile::NamedTempFile,
     tokio::runtime::Runtime,
 };
@@ -23,6 +27,15 @@
 
 impl Cluster {
     pub fn start() -> Self {
+        Self::start_with(None)
+    }
+
+    /// Starts a control replica that admits only the operators of a token file.
+    pub fn start_with_tokens(tokens: &Path) -> Self {
+        Self::start_with(Some(tokens.to_owned()))
+    }
+
+    fn start_with(tokens: Option<PathBuf>) -> Self {
         let runtime = Runtime::new().unwrap();
         let settings = ControlSettings {
             host: "control-1".into(),
@@ -34,7 +47,7 @@
             data: None,
             replicas: Vec::new(),
             join: false,
-            tokens: None,
+            tokens,
             log: "off".to_owned(),
             log_folder: None,
             statsd: None,
--- a/crates/control/src/admin/body.rs
+++ b/crates/control/src/admin/body.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{command_log::LogError, node::NodeError},
-    banyansill_core::{position::LogPosition, sheet::SheetFault},
+    banyansill_core::{
+        cluster::{ClusterRejection, RowDifference},
+        position::LogPosition,
+        sheet::SheetFault,
+    },
     banyansill_wire::v1,
     ntex::{
         http::{StatusCode, error::PayloadError},
@@ -24,6 +28,9 @@
     /// Faults of a sheet.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub faults: Vec<SheetFault>,
+    /// Rows of a sheet that are not in the operator's scope.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<RowDifference>,
 }
 
 impl ErrorBody {
@@ -41,6 +48,9 @@
     match error {
         NodeError::Invalid(_) => ErrorBody::new("invalid", detail).reply(StatusCode::BAD_REQUEST),
         NodeError::Busy(_) => ErrorBody::new("busy", detail).reply(StatusCode::SERVICE_UNAVAILABLE),
+        NodeError::Rejected(ClusterRejection::Forbidden { .. }) => {
+            ErrorBody::new("forbidden", detail).reply(StatusCode::FORBIDDEN)
+        }
         NodeError::Rejected(_) => ErrorBody::new("rejected", detail).reply(StatusCode::CONFLICT),
         NodeError::Log(LogError::NotLeader { leader }) => {
             let mut body = ErrorBody::new("not-leader", detail);
--- a/crates/control/src/admin/mod.rs
+++ b/crates/control/src/admin/mod.rs
@@ -2,22 +2,23 @@
 
 mod body;
 mod routes;
-mod tokens;
 
-pub use {body::ErrorBody, tokens::TokenTable};
+pub use {banyansill_runtime::tokens::TokenTable, body::ErrorBody, routes::ROUTES};
 
 use {
     crate::{
         command_log::CommandLog, forward::LeaderClient, members::MemberControl, node::ControlNode,
     },
     banyansill_core::cluster::ClusterState,
-    banyansill_runtime::server::ServerHandle,
+    banyansill_runtime::{
+        server::ServerHandle,
+        tokens::{AccessPolicy, TokenError},
+    },
     miette::Diagnostic,
     ntex::time::Millis,
     std::{
         io,
         net::{SocketAddr, TcpListener},
-        path::PathBuf,
         sync::Arc,
     },
     thiserror::Error,
@@ -43,26 +44,10 @@
         /// What the system reported.
         source: io::Error,
     },
-    /// The token file cannot be read.
-    #[error("token file {path}: {source}")]
-    #[diagnostic(code(banyansill::control::tokens))]
-    TokenFile {
-        /// Path of the file.
-        path: PathBuf,
-        /// What the system reported.
-        source: io::Error,
-    },
-    /// A line of the token file is not valid.
-    #[error("token file {path}, line {line}: {message}")]
-    #[diagnostic(code(banyansill::control::tokens))]
-    TokenLine {
-        /// Path of the file.
-        path: PathBuf,
-        /// Line, counted from 1.
-        line: usize,
-        /// What is wrong.
-        message: String,
-    },
+    /// The token file cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Tokens(#[from] TokenError),
 }
 
 /// What the request handlers share.
@@ -70,7 +55,7 @@
 pub(crate) struct AdminState<L, M> {
     node: ControlNode<L, M>,
     client: LeaderClient,
-    tokens: TokenTable,
+    access: AccessPolicy,
     /// Runtime of the replica; handlers run on the server's own threads.
     runtime: Handle,
 }
@@ -84,7 +69,7 @@
     address: SocketAddr,
     node: ControlNode<L, M>,
     client: LeaderClient,
-    tokens: TokenTable,
+    access: AccessPolicy,
 ) -> Result<(SocketAddr, ServerHandle), AdminError>
 where
     L: CommandLog<Machine = ClusterState>,
@@ -93,7 +78,7 @@
     let failed = |source| AdminError::Listen { address, source };
     let listener = TcpListener::bind(address).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
-    let state = Arc::new(AdminState { node, client, tokens, runtime: Handle::current() });
+    let state = Arc::new(AdminState { node, client, access, runtime: Handle::current() });
     let handle = ServerHandle::spawn("control-http", WORKERS, move |builder| {
         let builder = builder.shutdown_timeout(STOP_LIMIT);
         builder.listen("control-http", listener, async move |_| routes::service(&state))
--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AdminState, TokenTable,
+        AdminState,
         body::{
             AcceptedBody, AnnouncedBody, AnnouncementBody, ErrorBody, StatusBody, node_error,
             payload_error,
@@ -12,8 +12,10 @@
         command_log::CommandLog,
         members::MemberControl,
         node::{NodeError, SheetOutcome},
+        status::visible_rows,
     },
     banyansill_core::{cluster::ClusterState, event::HybridStamp, sheet::SHEET_LIMIT},
+    banyansill_runtime::tokens::{self, AccessPolicy, OperatorAccess},
     banyansill_wire::v1,
     ntex::{
         SharedCfg,
@@ -32,28 +34,37 @@
 
 type Shared<L, M> = web::types::State<Arc<AdminState<L, M>>>;
 
-/// Builds the service of one worker.
-pub(super) fn service<L, M>(
-    state: &Arc<AdminState<L, M>>,
-) -> impl ServiceFactory<Io, SharedCfg> + use<L, M>
-where
-    L: CommandLog<Machine = ClusterState>,
-    M: MemberControl,
-{
-    let app = App::new()
-        .state(Arc::clone(state))
-        .route("/healthz", web::get().to(health))
-        .route("/readyz", web::get().to(ready::<L, M>))
-        .route("/v1/announce", web::post().to(announce::<L, M>))
-        .route("/v1/status", web::get().to(status::<L, M>))
-        .route("/v1/events", web::get().to(events::<L, M>))
-        .service(
-            web::resource("/v1/sheet")
-                .route(web::get().to(show_sheet::<L, M>))
-                .route(web::post().to(apply_sheet::<L, M>)),
-        )
-        .default_service(web::to(missing));
-    HttpService::new(app.finish())
+/// Lists the routes once, for the service and for the check of `docs/openapi.json`.
+macro_rules! routes {
+    ($($method:ident $path:literal => $handler:expr;)*) => {
+        /// Method and path of every route.
+        pub const ROUTES: &[(&str, &str)] = &[$((stringify!($method), $path)),*];
+
+        /// Builds the service of one worker.
+        pub(super) fn service<L, M>(
+            state: &Arc<AdminState<L, M>>,
+        ) -> impl ServiceFactory<Io, SharedCfg> + use<L, M>
+        where
+            L: CommandLog<Machine = ClusterState>,
+            M: MemberControl,
+        {
+            let app = App::new()
+                .state(Arc::clone(state))
+                $(.route($path, web::$method().to($handler)))*
+                .default_service(web::to(missing));
+            HttpService::new(app.finish())
+        }
+    };
+}
+
+routes! {
+    get "/healthz" => health;
+    get "/readyz" => ready::<L, M>;
+    post "/v1/announce" => announce::<L, M>;
+    get "/v1/status" => status::<L, M>;
+    get "/v1/events" => events::<L, M>;
+    get "/v1/sheet" => show_sheet::<L, M>;
+    post "/v1/sheet" => apply_sheet::<L, M>;
 }
 
 async fn missing(request: HttpRequest) -> HttpResponse {
@@ -105,13 +116,18 @@
     }
 }
 
-async fn status<L, M>(state: Shared<L, M>) -> HttpResponse
+async fn status<L, M>(state: Shared<L, M>, request: HttpRequest) -> HttpResponse
 where
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
+    let access = match reader(&state.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
     let shared = Arc::clone(&state);
-    match run(&state, async move { shared.node.status(v1::StatusRequest::default()).await }).await {
+    let asked = v1::StatusRequest::default();
+    match run(&state, async move { shared.node.status(asked, &access.scope).await }).await {
         Ok(reply) => HttpResponse::Ok().json(&StatusBody::from(reply)),
         Err(error) => node_error(&error),
     }
@@ -129,6 +145,10 @@
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
+    let access = match reader(&state.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
     let query = match web::types::Query::<EventsQuery>::from_query(request.query_string()) {
         Ok(query) => query,
         Err(error) => {
@@ -141,7 +161,9 @@
         Some(millis) => HybridStamp { millis, counter: u32::MAX },
         None => HybridStamp::default(),
     };
-    HttpResponse::Ok().json(&state.node.events.since(after))
+    let mut events = state.node.events.since(after);
+    tokens::retain_visible(&mut events, &access.scope);
+    HttpResponse::Ok().json(&events)
 }
 
 async fn show_sheet<L, M>(state: Shared<L, M>, request: HttpRequest) -> HttpResponse
@@ -149,14 +171,19 @@
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
-    if let Err(refusal) = operator(&state.tokens, &request) {
-        return refusal;
-    }
+    let access = match operator(&state.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
     let shared = Arc::clone(&state);
     let sheet = run(&state, async move {
-        let read = |state: &ClusterState| {
-            let number = state.sheet().map(|record| record.number);
-            number.map(|number| (number, state.sheet_content().to_owned()))
+        let read = move |state: &ClusterState| {
+            let number = state.sheet()?.number;
+            let content = state.sheet_content();
+            if access.scope.is_unlimited() {
+                return Some((number, content.to_owned()));
+            }
+            Some((number, visible_rows(content.as_bytes(), &access.scope)))
         };
         Ok(shared.node.log.inspect(read).await?)
     })
@@ -190,8 +217,8 @@
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
-    let operator = match operator(&state.tokens, &request) {
-        Ok(operator) => operator,
+    let access = match operator(&state.access, &request) {
+        Ok(access) => access,
         Err(refusal) => return refusal,
     };
     let query = match web::types::Query::<SheetQuery>::from_query(request.query_string()) {
@@ -208,16 +235,21 @@
         number: query.number,
         content: content.to_vec().into(),
         request_id: query.request_id.clone(),
-        operator,
+        operator: access.operator,
     };
     let shared = Arc::clone(&state);
-    match run(&state, async move { shared.node.apply_sheet(sheet).await }).await {
+    match run(&state, async move { shared.node.apply_sheet(sheet, &access.scope).await }).await {
         Ok(SheetOutcome::Accepted(version)) => {
             HttpResponse::Ok().json(&AcceptedBody { accepted: true, version })
         }
         Ok(SheetOutcome::Conflict(winner)) => {
             ErrorBody::new("conflict", winner).reply(StatusCode::CONFLICT)
         }
+        Ok(SheetOutcome::OutOfScope { rows, detail }) => {
+            let mut body = ErrorBody::new("out-of-scope", detail);
+            body.rows = rows;
+            body.reply(StatusCode::FORBIDDEN)
+        }
         Ok(SheetOutcome::Faults(faults)) => {
             let mut body = ErrorBody::new("faults", format!("{} fault(s)", faults.len()));
             body.faults = faults;
@@ -227,15 +259,23 @@
     }
 }
 
+fn authorization(request: &HttpRequest) -> Option<&str> {
+    request.headers().get(header::AUTHORIZATION)?.to_str().ok()
+}
+
+fn unauthorized() -> HttpResponse {
+    ErrorBody::new("unauthorized", "a valid bearer token is required")
+        .reply(StatusCode::UNAUTHORIZED)
+}
+
 /// Returns the operator whose token the request carries.
-fn operator(tokens: &TokenTable, request: &HttpRequest) -> Result<String, HttpResponse> {
-    let header = request.headers().get(header::AUTHORIZATION);
-    let token = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
-    let operator = token.and_then(|token| tokens.operator(token));
-    operator.map(ToOwned::to_owned).ok_or_else(|| {
-        ErrorBody::new("unauthorized", "a valid bearer token is required")
-            .reply(StatusCode::UNAUTHORIZED)
-    })
+fn operator(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
+    access.operator(authorization(request)).ok_or_else(unauthorized)
+}
+
+/// Returns the reader of a request that only shows state; without a token file everybody may read.
+fn reader(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
+    access.operator_or_open(authorization(request)).ok_or_else(unauthorized)
 }
 
 /// Runs a request on the replica's own runtime.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -11,6 +11,7 @@
 /// Records the event of a command that changed the state; only the proposer calls it.
 pub fn record_event(events: &EventSink, command: &ClusterCommand, version: u64) {
     let (number, mut fields) = match command {
+        ClusterCommand::Scoped { command, .. } => return record_event(events, command, version),
         ClusterCommand::JoinEntry { entry } => (
             EventNumber::EntryJoined,
             vec![("entry", entry.host.to_string()), ("incarnation", entry.incarnation.to_string())],
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        admin::{self, AdminError, TokenTable},
+        admin::{self, AdminError},
         command_log::CommandLog,
         forward::LeaderClient,
         leader,
@@ -16,7 +16,7 @@
     banyansill_core::{
         cluster::ClusterState, event::EventNumber, names::SharedName, sheet::SHEET_LIMIT,
     },
-    banyansill_runtime::{events::EventSink, server::ServerHandle},
+    banyansill_runtime::{events::EventSink, server::ServerHandle, tokens::AccessPolicy},
     banyansill_wire::v1::control_server::ControlServer,
     miette::Diagnostic,
     std::{io, net::SocketAddr, path::PathBuf, time::Duration},
@@ -201,19 +201,17 @@
     L: CommandLog<Machine = ClusterState>,
     M: MemberControl,
 {
-    let tokens = match &settings.tokens {
-        Some(path) => TokenTable::load(path)?,
-        None => TokenTable::default(),
-    };
+    let access = AccessPolicy::load(settings.tokens.as_deref()).map_err(AdminError::from)?;
     let address = listener
         .local_addr()
         .map_err(|source| SpawnError::Listen { address: settings.listen, source })?;
     let node = ControlNode::new(log, members, events.clone());
     let client = LeaderClient::spawn(node.clone());
-    let (http, admin) = admin::spawn(settings.http, node.clone(), client.clone(), tokens).await?;
+    let (http, admin) =
+        admin::spawn(settings.http, node.clone(), client.clone(), access.clone()).await?;
     let leader = tokio::spawn(leader::run(node.clone()));
     let (stop, mut stopping) = watch::channel(false);
-    let service = ControlServer::new(ControlService::new(node, client, stopping.clone()))
+    let service = ControlServer::new(ControlService::new(node, client, access, stopping.clone()))
         .max_decoding_message_size(MESSAGE_LIMIT);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let service = tokio::spawn(async move {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,8 +9,11 @@
     banyansill_core::{
         cluster::{
             BrokerRef, ClusterCommand, ClusterRejection, ClusterReply, ClusterState, EntryInfo,
+            OperatorScope, RowDifference,
         },
         detector::LivenessTable,
+        event::EventNumber,
+        names::SharedName,
         sheet::{RuleSheet, SheetFault},
         time::Micros,
     },
@@ -53,6 +56,13 @@
     Conflict(String),
     /// The content is not valid.
     Faults(Vec<SheetFault>),
+    /// Rows out of the operator's scope differ from the last accepted sheet.
+    OutOfScope {
+        /// The rows, at most `FAULT_LIMIT` of them.
+        rows: Vec<RowDifference>,
+        /// Sentence for the operator.
+        detail: String,
+    },
 }
 
 /// The leader's observations, valid for one consensus term.
@@ -176,6 +186,7 @@
     pub async fn apply_sheet(
         &self,
         request: v1::ApplySheetRequest,
+        scope: &OperatorScope,
     ) -> Result<SheetOutcome, NodeError> {
         check_label("request_id", &request.request_id)?;
         check_label("operator", &request.operator)?;
@@ -187,19 +198,32 @@
         }
         let content = String::from_utf8(request.content.to_vec())
             .map_err(|_| NodeError::Invalid("the sheet is not UTF-8".to_owned()))?;
+        let (number, operator) = (request.number, request.operator.clone());
         let command = ClusterCommand::ApplySheet {
-            number: request.number,
+            number,
             content,
             operator: request.operator,
             request_id: request.request_id,
         };
-        match self.propose(command).await {
+        match self.propose_scoped(scope, command).await {
             Ok((version, _)) => {
                 self.wake.notify_one();
                 Ok(SheetOutcome::Accepted(version))
             }
             Err(NodeError::Rejected(rejection)) => {
-                Ok(SheetOutcome::Conflict(rejection.to_string()))
+                let detail = rejection.to_string();
+                match rejection {
+                    ClusterRejection::OutOfScope { rows, total } => {
+                        let fields = [
+                            ("number", number.to_string()),
+                            ("operator", operator),
+                            ("rows", total.to_string()),
+                        ];
+                        self.events.record(EventNumber::SheetOutOfScope, &fields);
+                        Ok(SheetOutcome::OutOfScope { rows, detail })
+                    }
+                    _ => Ok(SheetOutcome::Conflict(detail)),
+                }
             }
             Err(error) => Err(error),
         }
@@ -209,8 +233,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the entry or target is unknown or the log does not answer.
-    pub async fn drain(&self, request: v1::DrainRequest) -> Result<bool, NodeError> {
+    /// Returns an error if the entry or target is unknown or not in the operator's scope, or the log
+    /// does not answer.
+    pub async fn drain(
+        &self,
+        request: v1::DrainRequest,
+        scope: &OperatorScope,
+    ) -> Result<bool, NodeError> {
         check_label("request_id", &request.request_id)?;
         check_names(&[&request.name])?;
         let (drain, request_id) = (request.drain, request.request_id);
@@ -227,17 +256,46 @@
                 return Err(NodeError::Invalid(message));
             }
         };
-        let (_, changed) = self.propose(command).await?;
+        let (_, changed) = self.propose_scoped(scope, command).await?;
         self.wake.notify_one();
         Ok(changed)
     }
 
+    /// Adds or removes a control replica and returns a sentence for the operator.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operator is scoped or the change is refused.
+    pub async fn change_member(
+        &self,
+        host: SharedName,
+        address: String,
+        add: bool,
+        scope: &OperatorScope,
+    ) -> Result<String, NodeError> {
+        if !scope.is_unlimited() {
+            let detail = "only an operator with all rights changes control replicas".to_owned();
+            return Err(NodeError::Rejected(ClusterRejection::Forbidden { detail }));
+        }
+        self.members.change_member(host, address, add).await
+    }
+
     /// Returns the state as this replica has applied it, after a confirmation if the request asks for it.
     ///
     /// # Errors
     ///
-    /// Returns an error if the replica has stopped, or cannot confirm its leadership.
-    pub async fn status(&self, request: v1::StatusRequest) -> Result<v1::StatusReply, NodeError> {
+    /// Returns an error if the replica has stopped, cannot confirm its leadership, or the database of
+    /// the outlook is not in the operator's scope.
+    pub async fn status(
+        &self,
+        request: v1::StatusRequest,
+        scope: &OperatorScope,
+    ) -> Result<v1::StatusReply, NodeError> {
+        if !request.outlook_of.is_empty() && !scope.covers_database(&request.outlook_of) {
+            let detail =
+                format!("database {:?} is not in the operator's scope", request.outlook_of);
+            return Err(NodeError::Rejected(ClusterRejection::Forbidden { detail }));
+        }
         if request.confirmed || !request.outlook_of.is_empty() {
             self.log.confirm().await?;
         }
@@ -256,6 +314,7 @@
         reply.leader = role.leader.unwrap_or_default();
         reply.consensus_term = role.term;
         reply.replicas = self.members.replicas().await;
+        status::restrict(&mut reply, scope);
         Ok(reply)
     }
 
@@ -270,6 +329,19 @@
         Ok(records.into_iter().map(view::sheet_record).collect())
     }
 
+    /// Proposes a command of an operator, which the state machine checks against its scope.
+    async fn propose_scoped(
+        &self,
+        scope: &OperatorScope,
+        command: ClusterCommand,
+    ) -> Result<(u64, bool), NodeError> {
+        if scope.is_unlimited() {
+            return self.propose(command).await;
+        }
+        let command = Box::new(command);
+        self.propose(ClusterCommand::Scoped { scope: scope.clone(), command }).await
+    }
+
     /// Proposes a command and returns its version and whether it changed the state.
     pub(crate) async fn propose(&self, command: ClusterCommand) -> Result<(u64, bool), NodeError> {
         let (_, reply) = self.log.propose(command.encode()).await?;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -8,7 +8,8 @@
         node::{ControlNode, NodeError, SheetOutcome},
         watch,
     },
-    banyansill_core::cluster::ClusterState,
+    banyansill_core::cluster::{ClusterRejection, ClusterState},
+    banyansill_runtime::tokens::{AccessPolicy, OperatorAccess},
     banyansill_wire::v1::{self, control_server::Control},
     tokio::sync::{mpsc, watch::Receiver},
     tokio_stream::wrappers::ReceiverStream,
@@ -23,6 +24,7 @@
 pub struct ControlService<L, M> {
     node: ControlNode<L, M>,
     client: LeaderClient,
+    access: AccessPolicy,
     stopping: Receiver<bool>,
 }
 
@@ -32,9 +34,22 @@
     pub const fn new(
         node: ControlNode<L, M>,
         client: LeaderClient,
+        access: AccessPolicy,
         stopping: Receiver<bool>,
     ) -> Self {
-        Self { node, client, stopping }
+        Self { node, client, access, stopping }
+    }
+
+    /// Returns the operator who sent a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a status if the settings name a token file and the request carries no valid token.
+    fn operator<T>(&self, request: &Request<T>) -> Result<OperatorAccess, Status> {
+        let header = request.metadata().get("authorization").and_then(|value| value.to_str().ok());
+        self.access
+            .operator_or_open(header)
+            .ok_or_else(|| Status::unauthenticated("a valid bearer token is required"))
     }
 }
 
@@ -44,6 +59,9 @@
         match error {
             NodeError::Invalid(_) => Self::invalid_argument(text),
             NodeError::Busy(_) => Self::aborted(text),
+            NodeError::Rejected(
+                ClusterRejection::Forbidden { .. } | ClusterRejection::OutOfScope { .. },
+            ) => Self::permission_denied(text),
             NodeError::Rejected(_) => Self::failed_precondition(text),
             NodeError::Log(LogError::NotLeader { leader }) => {
                 let mut status = Self::unavailable(text);
@@ -106,8 +124,16 @@
         &self,
         request: Request<v1::ApplySheetRequest>,
     ) -> Result<Response<v1::ApplySheetReply>, Status> {
+        let access = self.operator(&request)?;
+        let mut request = request.into_inner();
+        if !access.operator.is_empty() {
+            request.operator = access.operator;
+        }
         let mut reply = v1::ApplySheetReply::default();
-        match self.node.apply_sheet(request.into_inner()).await? {
+        match self.node.apply_sheet(request, &access.scope).await? {
+            SheetOutcome::OutOfScope { detail, .. } => {
+                return Err(Status::permission_denied(detail));
+            }
             SheetOutcome::Accepted(version) => {
                 reply.accepted = true;
                 reply.version = version;
@@ -128,8 +154,9 @@
 
     async fn sheet_history(
         &self,
-        _request: Request<v1::SheetHistoryRequest>,
+        request: Request<v1::SheetHistoryRequest>,
     ) -> Result<Response<v1::SheetHistoryReply>, Status> {
+        self.operator(&request)?;
         let records = self.node.sheet_history().await?;
         Ok(Response::new(v1::SheetHistoryReply { records }))
     }
@@ -138,7 +165,8 @@
         &self,
         request: Request<v1::DrainRequest>,
     ) -> Result<Response<v1::DrainReply>, Status> {
-        let changed = self.node.drain(request.into_inner()).await?;
+        let access = self.operator(&request)?;
+        let changed = self.node.drain(request.into_inner(), &access.scope).await?;
         let detail = if changed { "changed" } else { "unchanged" };
         Ok(Response::new(v1::DrainReply { changed, detail: detail.to_owned() }))
     }
@@ -147,16 +175,18 @@
         &self,
         request: Request<v1::StatusRequest>,
     ) -> Result<Response<v1::StatusReply>, Status> {
-        Ok(Response::new(self.node.status(request.into_inner()).await?))
+        let access = self.operator(&request)?;
+        Ok(Response::new(self.node.status(request.into_inner(), &access.scope).await?))
     }
 
     async fn change_member(
         &self,
         request: Request<v1::MemberRequest>,
     ) -> Result<Response<v1::MemberReply>, Status> {
+        let access = self.operator(&request)?;
         let request = request.into_inner();
         let (host, address) = (request.host.as_str().into(), request.address);
-        let detail = self.node.members.change_member(host, address, request.add).await?;
+        let detail = self.node.change_member(host, address, request.add, &access.scope).await?;
         Ok(Response::new(v1::MemberReply { done: true, detail }))
     }
 }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -3,10 +3,11 @@
 use {
     crate::{node::NodeError, view},
     banyansill_core::{
-        cluster::{BrokerRef, ClusterState},
+        cluster::{BrokerRef, ClusterState, OperatorScope},
         detector::LivenessTable,
         names::SharedName,
         promotion::{self, ChangeOutlook},
+        sheet::RuleSheet,
         time::Micros,
     },
     banyansill_wire::v1,
@@ -54,6 +55,28 @@
     })
 }
 
+/// Removes what a scoped operator may not see: other databases, rows of other teams, and the hosts of
+/// the deployment.
+pub(crate) fn restrict(reply: &mut v1::StatusReply, scope: &OperatorScope) {
+    if scope.is_unlimited() {
+        return;
+    }
+    reply.databases.retain(|database| scope.covers_database(&database.database));
+    if scope.databases.is_some() {
+        reply.entries.clear();
+        reply.replicas.clear();
+    }
+    if let Some(sheet) = &mut reply.sheet {
+        sheet.content = visible_rows(&sheet.content, scope).into();
+    }
+}
+
+/// Returns the rows of a sheet that are in a scope, as CSV text.
+pub(crate) fn visible_rows(content: &[u8], scope: &OperatorScope) -> String {
+    let sheet = RuleSheet::parse(content).unwrap_or_default();
+    sheet.render(|rule| scope.covers_row(&rule.database, &rule.application))
+}
+
 fn add_positions(table: &LivenessTable, name: &SharedName, database: &mut v1::DatabaseView) {
     for server in &mut database.servers {
         let Some(announcement) = &mut server.announcement else { continue };
--- a/crates/core/src/cluster/apply.rs
+++ b/crates/core/src/cluster/apply.rs
@@ -77,6 +77,9 @@
             ClusterCommand::ApplySheet { number, content, operator, request_id } => {
                 return self.apply_sheet(index, number, content, operator, request_id);
             }
+            ClusterCommand::Scoped { scope, command } => {
+                return self.apply_scoped(index, &scope, *command);
+            }
         };
         self.reply(index, outcome)
     }
--- a/crates/core/src/cluster/command.rs
+++ b/crates/core/src/cluster/command.rs
@@ -1,7 +1,10 @@
 //! Commands of the cluster state and the answers to their proposers.
 
 use {
-    super::record::{BrokerRef, EntryInfo, TargetInfo},
+    super::{
+        record::{BrokerRef, EntryInfo, TargetInfo},
+        scope::{OperatorScope, RowDifference},
+    },
     crate::{names::SharedName, position::LogPosition},
     serde::{Deserialize, Serialize},
     thiserror::Error,
@@ -143,6 +146,13 @@
         /// Identifies a resend; may be empty.
         request_id: String,
     },
+    /// A command of a scoped operator, checked against the state at its log index.
+    Scoped {
+        /// Scope of the operator when it sent the command.
+        scope: OperatorScope,
+        /// The command; only sheets and drains of targets are allowed.
+        command: Box<ClusterCommand>,
+    },
 }
 
 impl ClusterCommand {
@@ -216,6 +226,28 @@
         /// Operator of the winning sheet.
         operator: String,
     },
+    /// A sheet changes rows that are not in the operator's scope.
+    #[error(
+        "{total} row(s) differ from the last accepted sheet out of the operator's scope: {}",
+        list(rows)
+    )]
+    OutOfScope {
+        /// The rows, at most `FAULT_LIMIT` of them.
+        rows: Vec<RowDifference>,
+        /// Number of all such rows.
+        total: usize,
+    },
+    /// The operator's scope does not contain what the command changes.
+    #[error("forbidden: {detail}")]
+    Forbidden {
+        /// Why.
+        detail: String,
+    },
+}
+
+fn list(rows: &[RowDifference]) -> String {
+    let rows: Vec<String> = rows.iter().map(ToString::to_string).collect();
+    rows.join(", ")
 }
 
 /// Answer to the proposer of a command.
--- a/crates/core/src/cluster/mod.rs
+++ b/crates/core/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod change;
 mod command;
 mod record;
+mod scope;
 mod sheets;
 
 pub use {
@@ -17,6 +18,7 @@
         BrokerRef, CandidateRecord, DatabaseRecord, EntryInfo, EntryRecord, SheetRecord,
         TargetInfo, TargetRecord, TermRecord,
     },
+    scope::{OperatorScope, RowChange, RowDifference, row_differences},
     sheets::{REQUESTS_KEPT, SHEETS_KEPT, sheet_digest},
 };
 
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,6 +83,8 @@
     SheetConflict = 202, "sheet conflict";
     /// An entry applied a sheet.
     SheetApplied = 203, "sheet applied";
+    /// A sheet was refused because it changes rows that are not in the operator's scope.
+    SheetOutOfScope = 204, "sheet out of scope";
     /// An entry joined.
     EntryJoined = 301, "entry joined";
     /// An entry's node lease ran out.
--- a/crates/core/src/sheet.rs
+++ b/crates/core/src/sheet.rs
@@ -92,6 +92,40 @@
     pub max_concurrent: Option<u32>,
 }
 
+impl SheetRule {
+    /// Returns the values of the rule as text, in the order of `COLUMNS`.
+    #[must_use]
+    pub fn fields(&self) -> [String; COLUMNS.len()] {
+        let millis = |value: Micros| value.as_millis().to_string();
+        let access = match self.access {
+            RuleAccess::Read => "read",
+            RuleAccess::Write => "write",
+        };
+        let targets = match self.targets {
+            RuleTargets::Primary => "primary",
+            RuleTargets::Replica => "replica",
+            RuleTargets::Any => "any",
+        };
+        let ack = match self.ack {
+            RuleAck::Primary => "primary",
+            RuleAck::Replica => "replica",
+        };
+        [
+            self.database.to_string(),
+            self.application.to_string(),
+            self.kind.to_string(),
+            access.to_owned(),
+            targets.to_owned(),
+            self.max_age.map(millis).unwrap_or_default(),
+            ack.to_owned(),
+            if self.repeatable { "yes" } else { "no" }.to_owned(),
+            self.priority.to_string(),
+            millis(self.deadline),
+            self.max_concurrent.map(|limit| limit.to_string()).unwrap_or_default(),
+        ]
+    }
+}
+
 /// One fault of a sheet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SheetFault {
@@ -138,6 +172,23 @@
         &self.rules
     }
 
+    /// Returns a header and the rules that `keep` selects as CSV text.
+    #[must_use]
+    pub fn render<F>(&self, keep: F) -> String
+    where
+        F: Fn(&SheetRule) -> bool,
+    {
+        let mut writer = csv::Writer::from_writer(Vec::new());
+        // A writer to memory does not fail.
+        let _ = writer.write_record(COLUMNS);
+        for rule in &self.rules {
+            if keep(rule) {
+                let _ = writer.write_record(rule.fields());
+            }
+        }
+        String::from_utf8(writer.into_inner().unwrap_or_default()).unwrap_or_default()
+    }
+
     /// Returns the most specific rule for a request.
     ///
     /// A rule that names the kind goes before one with a wildcard kind; after that the application
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -6,10 +6,17 @@
         session::{CallerRegistry, SessionCounters},
     },
     banyansill_core::{event::HybridStamp, names::SharedName, route::RouteTable},
-    banyansill_runtime::{events::EventSink, server::ServerHandle},
+    banyansill_runtime::{
+        events::EventSink,
+        server::ServerHandle,
+        tokens::{self, AccessPolicy, OperatorAccess},
+    },
     ntex::{
-        http::HttpService,
-        web::{self, App, HttpResponse, types},
+        SharedCfg,
+        http::{HttpService, StatusCode, header},
+        io::Io,
+        service::ServiceFactory,
+        web::{self, App, HttpRequest, HttpResponse, types},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -36,6 +43,8 @@
     pub registry: Arc<CallerRegistry>,
     /// Counters of the sessions.
     pub counters: Arc<SessionCounters>,
+    /// Who may read the status and the events.
+    pub access: AccessPolicy,
 }
 
 impl AdminSources {
@@ -116,12 +125,45 @@
     pub live_targets: usize,
 }
 
+/// Body of every reply that reports an error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Stable name of the kind of error.
+    pub error: String,
+    /// Sentence for the reader.
+    pub detail: String,
+}
+
 #[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 struct EventsQuery {
     #[serde(default)]
     since_ms: u64,
 }
 
+/// Lists the routes once, for the service and for the check of `docs/openapi.json`.
+macro_rules! routes {
+    ($($method:ident $path:literal => $handler:expr;)*) => {
+        /// Method and path of every route.
+        pub const ROUTES: &[(&str, &str)] = &[$((stringify!($method), $path)),*];
+
+        fn service(sources: AdminSources) -> impl ServiceFactory<Io, SharedCfg> {
+            let app = App::new()
+                .state(sources)
+                $(.route($path, web::$method().to($handler)))*
+                .default_service(web::to(missing));
+            HttpService::new(app.finish())
+        }
+    };
+}
+
+routes! {
+    get "/healthz" => health;
+    get "/readyz" => readiness;
+    get "/v1/events" => events;
+    get "/v1/status" => status;
+}
+
 /// HTTP listener of an entry.
 #[derive(Debug)]
 pub struct AdminServer;
@@ -136,15 +178,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let server = ServerHandle::spawn("admin", 1, move |builder| {
-            builder.listen("admin", listener, async move |_| {
-                let app = App::new()
-                    .state(sources.clone())
-                    .route("/healthz", web::get().to(health))
-                    .route("/readyz", web::get().to(readiness))
-                    .route("/v1/events", web::get().to(events))
-                    .route("/v1/status", web::get().to(status));
-                HttpService::new(app)
-            })
+            builder.listen("admin", listener, async move |_| service(sources.clone()))
         })
         .await?;
         Ok(AdminHandle { address, server })
@@ -183,18 +217,52 @@
     }
 }
 
-async fn events(
-    sources: types::State<AdminSources>,
-    query: types::Query<EventsQuery>,
-) -> HttpResponse {
+fn error(status: StatusCode, error: &str, detail: String) -> HttpResponse {
+    HttpResponse::build(status).json(&ErrorBody { error: error.to_owned(), detail })
+}
+
+async fn missing(request: HttpRequest) -> HttpResponse {
+    let detail = format!("no {} {}", request.method(), request.path());
+    error(StatusCode::NOT_FOUND, "not-found", detail)
+}
+
+/// Returns the operator who may read; without a token file everybody may.
+fn reader(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
+    let header = request.headers().get(header::AUTHORIZATION);
+    let operator = access.operator_or_open(header.and_then(|value| value.to_str().ok()));
+    operator.ok_or_else(|| {
+        let detail = "a valid bearer token is required".to_owned();
+        error(StatusCode::UNAUTHORIZED, "unauthorized", detail)
+    })
+}
+
+async fn events(sources: types::State<AdminSources>, request: HttpRequest) -> HttpResponse {
+    let access = match reader(&sources.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
+    let query = match types::Query::<EventsQuery>::from_query(request.query_string()) {
+        Ok(query) => query,
+        Err(fault) => {
+            return error(StatusCode::BAD_REQUEST, "invalid", format!("since_ms: {fault}"));
+        }
+    };
     // Stamps are compared as greater than, and events of the given millisecond belong to the list.
     let after = match query.since_ms.checked_sub(1) {
         Some(millis) => HybridStamp { millis, counter: u32::MAX },
         None => HybridStamp::default(),
     };
-    HttpResponse::Ok().json(&sources.events.since(after))
+    let mut events = sources.events.since(after);
+    tokens::retain_visible(&mut events, &access.scope);
+    HttpResponse::Ok().json(&events)
 }
 
-async fn status(sources: types::State<AdminSources>) -> HttpResponse {
-    HttpResponse::Ok().json(&sources.status())
+async fn status(sources: types::State<AdminSources>, request: HttpRequest) -> HttpResponse {
+    let access = match reader(&sources.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
+    let mut status = sources.status();
+    status.databases.retain(|name, _| access.scope.covers_database(name));
+    HttpResponse::Ok().json(&status)
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -14,6 +14,7 @@
         clock::{MonotonicClock, wall_millis},
         events::EventSink,
         metrics::{self, MetricsError},
+        tokens::{AccessPolicy, TokenError},
     },
     banyansill_wire::v1,
     miette::Diagnostic,
@@ -53,6 +54,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Metrics(#[from] MetricsError),
+    /// The token file cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Tokens(#[from] TokenError),
 }
 
 /// Running entry.
@@ -74,11 +79,12 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a listener cannot be opened.
+/// Returns an error if a listener cannot be opened or the token file is not valid.
 pub async fn spawn(settings: EntrySettings) -> Result<EntryHandle, EntryError> {
     let clock = MonotonicClock::start();
     let lease = NodeLease::new(clock);
     let events = EventSink::new(settings.host.clone());
+    let access = AccessPolicy::load(settings.tokens.as_deref())?;
     let (publisher, routes) = watch::channel(Arc::new(RouteTable::default()));
     let brokers = BrokerHub::spawn(
         BrokerSettings::new(settings.host.clone(), &settings.target_user),
@@ -110,6 +116,7 @@
         events: events.clone(),
         registry: callers.registry().clone(),
         counters: callers.counters().clone(),
+        access,
     };
     let admin_listen = settings.admin_listen;
     let admin =
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -29,6 +29,8 @@
     pub peer_listen: SocketAddr,
     /// HTTP listener for health checks.
     pub admin_listen: SocketAddr,
+    /// File with operators' tokens; without one everybody may read the status and the events.
+    pub tokens: Option<PathBuf>,
     /// Addresses of all control replicas.
     pub control: Vec<SocketAddr>,
     /// User as which brokers connect to targets.
@@ -71,6 +73,7 @@
             callers,
             peer_listen,
             admin_listen: address(reader, "admin_listen"),
+            tokens: reader.optional_path("tokens"),
             control,
             target_user: reader.string("target_user"),
             drain_bound: bound(reader, "drain_ms", 30_000),
--- a/crates/entry/tests/admin.rs
+++ b/crates/entry/tests/admin.rs
@@ -5,11 +5,11 @@
 use {
     banyansill_core::{event::EventNumber, route::RouteTable},
     banyansill_entry::{
-        admin::{AdminServer, AdminSources},
+        admin::{AdminServer, AdminSources, ErrorBody, ROUTES},
         lease::NodeLease,
         settings::EntrySettings,
     },
-    banyansill_runtime::{clock::MonotonicClock, settings},
+    banyansill_runtime::{clock::MonotonicClock, settings, tokens::AccessPolicy},
     std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
     support::Bench,
     tokio::io::{AsyncReadExt, AsyncWriteExt},
@@ -17,8 +17,15 @@
 
 /// Sends a GET request and returns the status code and the body.
 async fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    get_as(address, path, "").await
+}
+
+/// Sends a GET request with a token.
+async fn get_as(address: SocketAddr, path: &str, token: &str) -> (u16, String) {
     let mut socket = tokio::net::TcpStream::connect(address).await.expect("a listener");
-    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\nconnection: close\r\n\r\n"
+    );
     socket.write_all(request.as_bytes()).await.expect("an open connection");
     let mut answer = String::new();
     socket.read_to_string(&mut answer).await.expect("an answer");
@@ -40,6 +47,7 @@
         events: bench.handle.events().clone(),
         registry: bench.handle.registry().clone(),
         counters: bench.handle.counters().clone(),
+        access: AccessPolicy::default(),
     };
     let admin = AdminServer::bind(listen, sources).await.unwrap();
     let address = admin.address();
@@ -71,6 +79,7 @@
         events,
         registry: bench.handle.registry().clone(),
         counters: bench.handle.counters().clone(),
+        access: AccessPolicy::default(),
     };
     let admin = AdminServer::bind(listen, sources).await.unwrap();
     let _caller = bench.raw().await;
@@ -90,6 +99,73 @@
     admin.stop().await;
 }
 
+// Guards against a status or a time line that shows a team the databases of another, and against
+// errors without a type.
+#[tokio::test]
+async fn readers_see_their_own_databases() {
+    let bench = Bench::open().await;
+    let events = bench.handle.events().clone();
+    let field = |name: &str| [("database", name.to_owned()), ("server", "p".to_owned())];
+    events.record(EventNumber::BrokerOpened, &field("orders"));
+    events.record(EventNumber::BrokerOpened, &field("other"));
+    events.record(EventNumber::LeaseGained, &[]);
+    let tokens = tempfile::NamedTempFile::new().unwrap();
+    let lines = "ada 0123456789abcdef\nbo 1123456789abcdef databases=orders\n\
+                 cy 2123456789abcdef databases=other\n";
+    std::fs::write(tokens.path(), lines).unwrap();
+    let sources = AdminSources {
+        host: "host-1".into(),
+        lease: bench.lease.clone(),
+        routes: bench.routes.subscribe(),
+        events,
+        registry: bench.handle.registry().clone(),
+        counters: bench.handle.counters().clone(),
+        access: AccessPolicy::load(Some(tokens.path())).unwrap(),
+    };
+    let admin = AdminServer::bind(SocketAddr::from(([127, 0, 0, 1], 0)), sources).await.unwrap();
+    let seen = async |token: &str| {
+        let (_, events) = get_as(admin.address(), "/v1/events", token).await;
+        let events: Vec<serde_json::Value> = serde_json::from_str(&events).unwrap();
+        let (_, status) = get_as(admin.address(), "/v1/status", token).await;
+        let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+        (events.len(), status["databases"].get("orders").is_some())
+    };
+    assert_eq!(seen("0123456789abcdef").await, (3, true));
+    assert_eq!(seen("1123456789abcdef").await, (1, true));
+    assert_eq!(seen("2123456789abcdef").await, (1, false));
+    let kind = |body: String| serde_json::from_str::<ErrorBody>(&body).unwrap().error;
+    for path in ["/v1/events", "/v1/status"] {
+        let (code, body) = get_as(admin.address(), path, "3123456789abcdef").await;
+        assert_eq!((code, kind(body).as_str()), (401, "unauthorized"));
+    }
+    let (code, body) = get_as(admin.address(), "/v1/events?x=1", "0123456789abcdef").await;
+    assert_eq!((code, kind(body).as_str()), (400, "invalid"));
+    let (code, body) = get(admin.address(), "/v1/nothing").await;
+    assert_eq!((code, kind(body).as_str()), (404, "not-found"));
+    admin.stop().await;
+}
+
+// Guards against routes that `docs/openapi.json` does not describe, and descriptions without a route.
+#[test]
+fn openapi_describes_every_route() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/openapi.json");
+    let text = std::fs::read_to_string(path).unwrap();
+    let document: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let mut described = Vec::new();
+    for (path, operations) in document["paths"].as_object().unwrap() {
+        for (method, operation) in operations.as_object().unwrap() {
+            let processes = operation["x-processes"].as_array().unwrap();
+            if processes.iter().any(|process| process == "entry") {
+                described.push((method.as_str(), path.as_str()));
+            }
+        }
+    }
+    described.sort_unstable();
+    let mut routes = ROUTES.to_vec();
+    routes.sort_unstable();
+    assert_eq!(described, routes);
+}
+
 // Guards against example files that the entry does not accept.
 #[test]
 fn example_settings_are_valid() {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod metrics;
 pub mod server;
 pub mod settings;
+pub mod tokens;
