feat(control): HTTP endpoints for the operations of the command line

Cause: over HTTP only status, events and the sheet were available; drains, the promotion outlook, changes of control members, targets, and the history and differences of sheets needed the command line.

The scopes are those of the token file; entries and control members need all rights. Bodies are at most 8 KiB, sheets 1 MiB, unknown fields are refused, each error is typed JSON.

--- a/crates/control/src/admin/body.rs
+++ b/crates/control/src/admin/body.rs
@@ -38,6 +38,13 @@
         Self { error: error.to_owned(), detail: detail.into(), ..Self::default() }
     }
 
+    /// Returns the reply to a sheet with faults.
+    pub(super) fn faults(faults: Vec<SheetFault>) -> HttpResponse {
+        let mut body = Self::new("faults", format!("{} fault(s)", faults.len()));
+        body.faults = faults;
+        body.reply(StatusCode::UNPROCESSABLE_ENTITY)
+    }
+
     pub(super) fn reply(self, status: StatusCode) -> HttpResponse {
         HttpResponse::build(status).json(&self)
     }
@@ -139,6 +146,148 @@
     pub(super) version: u64,
 }
 
+/// Entry or target whose drain mark an operator sets.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct DrainBody {
+    scope: String,
+    #[serde(default)]
+    database: String,
+    name: String,
+    #[serde(default)]
+    request_id: String,
+}
+
+impl DrainBody {
+    pub(super) fn request(self, drain: bool) -> v1::DrainRequest {
+        v1::DrainRequest {
+            scope: self.scope,
+            database: self.database,
+            name: self.name,
+            drain,
+            request_id: self.request_id,
+        }
+    }
+}
+
+/// Whether a request changed the state.
+#[derive(Debug, Serialize)]
+pub(super) struct ChangedBody {
+    pub(super) changed: bool,
+}
+
+/// Control replica that an operator adds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct MemberBody {
+    pub(super) host: String,
+    pub(super) address: String,
+}
+
+/// Reply to a change of the control replicas.
+#[derive(Debug, Serialize)]
+pub(super) struct MemberChangedBody {
+    pub(super) detail: String,
+}
+
+/// Which server would become the primary.
+#[derive(Debug, Serialize)]
+pub(super) struct OutlookBody {
+    required: u32,
+    answers: u32,
+    candidate: String,
+    position: String,
+    detail: String,
+}
+
+impl From<v1::PromotionOutlook> for OutlookBody {
+    fn from(outlook: v1::PromotionOutlook) -> Self {
+        Self {
+            required: outlook.required,
+            answers: outlook.answers,
+            candidate: outlook.candidate,
+            position: position_text(outlook.position),
+            detail: outlook.detail,
+        }
+    }
+}
+
+/// One accepted sheet.
+#[derive(Debug, Serialize)]
+pub(super) struct HistoryBody {
+    number: u64,
+    digest: String,
+    operator: String,
+    request_id: String,
+    version: u64,
+}
+
+impl From<v1::SheetRecord> for HistoryBody {
+    fn from(record: v1::SheetRecord) -> Self {
+        Self {
+            number: record.number,
+            digest: record.digest,
+            operator: record.operator,
+            request_id: record.request_id,
+            version: record.version,
+        }
+    }
+}
+
+/// Rows in which a sheet differs from the sheet in force.
+#[derive(Debug, Serialize)]
+pub(super) struct DifferenceBody {
+    /// Number of the sheet in force; 0 if there is none.
+    pub(super) number: u64,
+    pub(super) rows: Vec<RowDifference>,
+    pub(super) out_of_scope: Vec<RowDifference>,
+}
+
+/// One target with its database.
+#[derive(Debug, Serialize)]
+pub(super) struct TargetLine {
+    database: String,
+    server: String,
+    address: String,
+    region: String,
+    zone: String,
+    role: &'static str,
+    live: bool,
+    draining: bool,
+    broker: String,
+    epoch: u64,
+    position: String,
+}
+
+pub(super) fn target_lines(reply: v1::StatusReply) -> Vec<TargetLine> {
+    let mut lines = Vec::new();
+    for database in reply.databases {
+        for server in database.servers {
+            let announcement = server.announcement.unwrap_or_default();
+            let primary = announcement.server == database.primary;
+            lines.push(TargetLine {
+                database: database.database.clone(),
+                server: announcement.server,
+                address: announcement.address,
+                region: announcement.region,
+                zone: announcement.zone,
+                role: if primary { "primary" } else { "replica" },
+                live: server.live,
+                draining: server.draining,
+                broker: server.broker,
+                epoch: server.epoch,
+                position: position_text(announcement.position),
+            });
+        }
+    }
+    lines
+}
+
+fn position_text(position: Option<v1::Position>) -> String {
+    let position = position.unwrap_or_default();
+    format!("{}:{}", position.term, position.offset)
+}
+
 /// The state that `/v1/status` shows.
 #[derive(Debug, Serialize)]
 pub(super) struct StatusBody {
--- a/crates/control/src/admin/mod.rs
+++ b/crates/control/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP interface: announcements, health, status, events and the sheet.
 
 mod body;
+mod operations;
 mod routes;
 
 pub use {banyansill_runtime::tokens::TokenTable, body::ErrorBody, routes::ROUTES};
--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -4,9 +4,9 @@
     super::{
         AdminState,
         body::{
-            AcceptedBody, AnnouncedBody, AnnouncementBody, ErrorBody, StatusBody, node_error,
-            payload_error,
+            AcceptedBody, AnnouncedBody, AnnouncementBody, ErrorBody, node_error, payload_error,
         },
+        operations,
     },
     crate::{
         command_log::CommandLog,
@@ -25,14 +25,14 @@
         util::BytesMut,
         web::{self, App, HttpRequest, HttpResponse, types::Payload},
     },
-    serde::Deserialize,
+    serde::{Deserialize, de::DeserializeOwned},
     std::{future::Future, sync::Arc},
 };
 
 /// Largest announcement, in bytes.
 const ANNOUNCEMENT_LIMIT: usize = 8 * 1024;
 
-type Shared<L, M> = web::types::State<Arc<AdminState<L, M>>>;
+pub(super) type Shared<L, M> = web::types::State<Arc<AdminState<L, M>>>;
 
 /// Lists the routes once, for the service and for the check of `docs/openapi.json`.
 macro_rules! routes {
@@ -61,10 +61,18 @@
     get "/healthz" => health;
     get "/readyz" => ready::<L, M>;
     post "/v1/announce" => announce::<L, M>;
-    get "/v1/status" => status::<L, M>;
+    get "/v1/status" => operations::status::<L, M>;
+    get "/v1/targets" => operations::targets::<L, M>;
+    post "/v1/drain" => operations::drain::<L, M>;
+    post "/v1/undrain" => operations::undrain::<L, M>;
+    get "/v1/promotion" => operations::promotion::<L, M>;
+    post "/v1/control/members" => operations::add_member::<L, M>;
+    delete "/v1/control/members" => operations::remove_member::<L, M>;
     get "/v1/events" => events::<L, M>;
     get "/v1/sheet" => show_sheet::<L, M>;
     post "/v1/sheet" => apply_sheet::<L, M>;
+    get "/v1/sheet/history" => operations::history::<L, M>;
+    post "/v1/sheet/diff" => operations::diff::<L, M>;
 }
 
 async fn missing(request: HttpRequest) -> HttpResponse {
@@ -116,23 +124,6 @@
     }
 }
 
-async fn status<L, M>(state: Shared<L, M>, request: HttpRequest) -> HttpResponse
-where
-    L: CommandLog<Machine = ClusterState>,
-    M: MemberControl,
-{
-    let access = match reader(&state.access, &request) {
-        Ok(access) => access,
-        Err(refusal) => return refusal,
-    };
-    let shared = Arc::clone(&state);
-    let asked = v1::StatusRequest::default();
-    match run(&state, async move { shared.node.status(asked, &access.scope).await }).await {
-        Ok(reply) => HttpResponse::Ok().json(&StatusBody::from(reply)),
-        Err(error) => node_error(&error),
-    }
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EventsQuery {
@@ -149,12 +140,9 @@
         Ok(access) => access,
         Err(refusal) => return refusal,
     };
-    let query = match web::types::Query::<EventsQuery>::from_query(request.query_string()) {
+    let query: EventsQuery = match parse_query(&request) {
         Ok(query) => query,
-        Err(error) => {
-            let detail = format!("since_ms: {error}");
-            return ErrorBody::new("invalid", detail).reply(StatusCode::BAD_REQUEST);
-        }
+        Err(refusal) => return refusal,
     };
     // Every stamp of the given millisecond is wanted, so the search begins just before it.
     let after = match query.since_ms.checked_sub(1) {
@@ -221,11 +209,9 @@
         Ok(access) => access,
         Err(refusal) => return refusal,
     };
-    let query = match web::types::Query::<SheetQuery>::from_query(request.query_string()) {
+    let query: SheetQuery = match parse_query(&request) {
         Ok(query) => query,
-        Err(error) => {
-            return ErrorBody::new("invalid", error.to_string()).reply(StatusCode::BAD_REQUEST);
-        }
+        Err(refusal) => return refusal,
     };
     let content = match read_body(payload, SHEET_LIMIT).await {
         Ok(content) => content,
@@ -250,11 +236,7 @@
             body.rows = rows;
             body.reply(StatusCode::FORBIDDEN)
         }
-        Ok(SheetOutcome::Faults(faults)) => {
-            let mut body = ErrorBody::new("faults", format!("{} fault(s)", faults.len()));
-            body.faults = faults;
-            body.reply(StatusCode::UNPROCESSABLE_ENTITY)
-        }
+        Ok(SheetOutcome::Faults(faults)) => ErrorBody::faults(faults),
         Err(error) => node_error(&error),
     }
 }
@@ -269,17 +251,23 @@
 }
 
 /// Returns the operator whose token the request carries.
-fn operator(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
+pub(super) fn operator(
+    access: &AccessPolicy,
+    request: &HttpRequest,
+) -> Result<OperatorAccess, HttpResponse> {
     access.operator(authorization(request)).ok_or_else(unauthorized)
 }
 
 /// Returns the reader of a request that only shows state; without a token file everybody may read.
-fn reader(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
+pub(super) fn reader(
+    access: &AccessPolicy,
+    request: &HttpRequest,
+) -> Result<OperatorAccess, HttpResponse> {
     access.operator_or_open(authorization(request)).ok_or_else(unauthorized)
 }
 
 /// Runs a request on the replica's own runtime.
-async fn run<L, M, T, F>(state: &AdminState<L, M>, future: F) -> Result<T, NodeError>
+pub(super) async fn run<L, M, T, F>(state: &AdminState<L, M>, future: F) -> Result<T, NodeError>
 where
     T: Send + 'static,
     F: Future<Output = Result<T, NodeError>> + Send + 'static,
@@ -290,7 +278,10 @@
     }
 }
 
-async fn read_body(mut payload: Payload, limit: usize) -> Result<BytesMut, PayloadError> {
+pub(super) async fn read_body(
+    mut payload: Payload,
+    limit: usize,
+) -> Result<BytesMut, PayloadError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk?;
@@ -301,3 +292,15 @@
     }
     Ok(body)
 }
+
+pub(super) fn parse_query<T>(request: &HttpRequest) -> Result<T, HttpResponse>
+where
+    T: DeserializeOwned,
+{
+    match web::types::Query::<T>::from_query(request.query_string()) {
+        Ok(query) => Ok(query.into_inner()),
+        Err(error) => {
+            Err(ErrorBody::new("invalid", error.to_string()).reply(StatusCode::BAD_REQUEST))
+        }
+    }
+}
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -5,8 +5,9 @@
 use {
     banyansill_control::{ControlHandle, settings::ControlSettings},
     banyansill_wire::v1::{self, control_client::ControlClient},
-    std::time::Duration,
-    tonic::transport::Channel,
+    std::{net::SocketAddr, time::Duration},
+    tempfile::NamedTempFile,
+    tonic::{Request, transport::Channel},
 };
 
 pub const SHEET: &str = "database,application,kind,access,targets,max_age_ms,ack,repeatable,\
@@ -128,3 +129,75 @@
     let body = reply.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default();
     (status, body)
 }
+
+pub const ADA: &str = "0123456789abcdef";
+pub const BO: &str = "1123456789abcdef";
+pub const CY: &str = "2123456789abcdef";
+
+pub struct Deployment {
+    pub handle: ControlHandle,
+    _tokens: NamedTempFile,
+}
+
+impl Deployment {
+    /// Starts a control replica with an operator with all rights and two scoped ones.
+    pub async fn start() -> Self {
+        Self::start_on(None).await
+    }
+
+    /// Starts it on a data folder.
+    pub async fn start_on(data: Option<std::path::PathBuf>) -> Self {
+        let file = NamedTempFile::new().unwrap();
+        let lines = format!(
+            "ada {ADA}\nbo {BO} databases=repairs-1\ncy {CY} databases=repairs-2 applications=till\n"
+        );
+        std::fs::write(file.path(), lines).unwrap();
+        let mut settings = settings();
+        settings.tokens = Some(file.path().to_owned());
+        settings.data = data;
+        let handle = banyansill_control::spawn(settings).await.unwrap();
+        let deployment = Self { handle, _tokens: file };
+        let mut client = deployment.client().await;
+        for (database, port) in [("repairs-1", 7300), ("repairs-2", 7310)] {
+            let mut announced = announcement("a", port, v1::Role::Primary);
+            announced.database = database.to_owned();
+            let request = v1::AnnounceRequest {
+                announcement: Some(announced),
+                forwarded: false,
+                more: Vec::new(),
+            };
+            eventually("a recorded target", async || client.announce(request.clone()).await.ok())
+                .await;
+        }
+        deployment
+    }
+
+    pub async fn client(&self) -> ControlClient<Channel> {
+        ControlClient::connect(format!("http://{}", self.handle.address())).await.unwrap()
+    }
+
+    pub async fn ask(&self, line: &str, token: &str, body: &str) -> (u16, String) {
+        let address: SocketAddr = self.handle.http_address();
+        let head = format!("{line}\nAuthorization: Bearer {token}\r\n");
+        let body = body.to_owned();
+        tokio::task::spawn_blocking(move || http(address, &head, body.as_bytes())).await.unwrap()
+    }
+
+    pub async fn json(&self, line: &str, token: &str) -> serde_json::Value {
+        serde_json::from_str(&self.ask(line, token, "").await.1).unwrap()
+    }
+}
+
+pub fn signed<T>(message: T, token: &str) -> Request<T> {
+    let mut request = Request::new(message);
+    request.metadata_mut().insert("authorization", format!("Bearer {token}").parse().unwrap());
+    request
+}
+
+pub fn sheet(rows: &[(&str, &str, u32)]) -> String {
+    let mut text = SHEET.to_owned();
+    for (database, application, deadline) in rows {
+        text += &format!("{database},{application},read,read,any,1000,primary,yes,4,{deadline},\n");
+    }
+    text
+}
--- a/crates/control/tests/service_teams.rs
+++ b/crates/control/tests/service_teams.rs
@@ -6,79 +6,12 @@
 
 use {
     banyansill_control::admin::{ErrorBody, ROUTES},
-    banyansill_wire::v1::{self, control_client::ControlClient},
-    common::{SHEET, announcement, eventually, http, settings},
-    std::{net::SocketAddr, path::Path},
-    tempfile::NamedTempFile,
-    tonic::{Code, Request, transport::Channel},
+    banyansill_wire::v1,
+    common::{ADA, BO, CY, Deployment, sheet, signed},
+    std::path::Path,
+    tonic::Code,
 };
 
-const ADA: &str = "0123456789abcdef";
-const BO: &str = "1123456789abcdef";
-const CY: &str = "2123456789abcdef";
-
-struct Deployment {
-    handle: banyansill_control::ControlHandle,
-    _tokens: NamedTempFile,
-}
-
-impl Deployment {
-    /// Starts a control replica with an operator with all rights and two scoped ones.
-    async fn start() -> Self {
-        let file = NamedTempFile::new().unwrap();
-        let lines = format!(
-            "ada {ADA}\nbo {BO} databases=repairs-1\ncy {CY} databases=repairs-2 applications=till\n"
-        );
-        std::fs::write(file.path(), lines).unwrap();
-        let mut settings = settings();
-        settings.tokens = Some(file.path().to_owned());
-        let handle = banyansill_control::spawn(settings).await.unwrap();
-        let deployment = Self { handle, _tokens: file };
-        let mut client = deployment.client().await;
-        for (database, port) in [("repairs-1", 7300), ("repairs-2", 7310)] {
-            let mut announced = announcement("a", port, v1::Role::Primary);
-            announced.database = database.to_owned();
-            let request = v1::AnnounceRequest {
-                announcement: Some(announced),
-                forwarded: false,
-                more: Vec::new(),
-            };
-            eventually("a recorded target", async || client.announce(request.clone()).await.ok())
-                .await;
-        }
-        deployment
-    }
-
-    async fn client(&self) -> ControlClient<Channel> {
-        ControlClient::connect(format!("http://{}", self.handle.address())).await.unwrap()
-    }
-
-    async fn ask(&self, line: &str, token: &str, body: &str) -> (u16, String) {
-        let address: SocketAddr = self.handle.http_address();
-        let head = format!("{line}\nAuthorization: Bearer {token}\r\n");
-        let body = body.to_owned();
-        tokio::task::spawn_blocking(move || http(address, &head, body.as_bytes())).await.unwrap()
-    }
-
-    async fn json(&self, line: &str, token: &str) -> serde_json::Value {
-        serde_json::from_str(&self.ask(line, token, "").await.1).unwrap()
-    }
-}
-
-fn signed<T>(message: T, token: &str) -> Request<T> {
-    let mut request = Request::new(message);
-    request.metadata_mut().insert("authorization", format!("Bearer {token}").parse().unwrap());
-    request
-}
-
-fn sheet(rows: &[(&str, &str, u32)]) -> String {
-    let mut text = SHEET.to_owned();
-    for (database, application, deadline) in rows {
-        text += &format!("{database},{application},read,read,any,1000,primary,yes,4,{deadline},\n");
-    }
-    text
-}
-
 /// Guards against a sheet of one team that changes the rows of another, over HTTP and tonic, and against
 /// a refusal that does not tell which rows it is about.
 #[tokio::test(flavor = "multi_thread")]
