fix(core): give each sheet a grace of its own

Cause: the leader kept only the latest sheet with the time at which it was seen, so each new sheet began the grace of 1.5 s again. Change: the leader keeps the sheets whose grace still runs, and requires the highest of the others.

--- a/crates/core/src/detector/lease.rs
+++ b/crates/core/src/detector/lease.rs
@@ -1,12 +1,13 @@
 //! Renewal of node leases, release of brokerships and fencing of closed terms.
 
 use {
-    super::{EntrySignal, LivenessTable, TargetKey},
+    super::{EntrySignal, LivenessTable, SheetWatch, TargetKey},
     crate::{
         cluster::{BrokerRef, ClusterState, DatabaseRecord, TargetRecord},
         names::SharedName,
         time::{Micros, NODE_LEASE, SHEET_GRACE, grantor_expiry},
     },
+    std::collections::VecDeque,
     thiserror::Error,
 };
 
@@ -82,13 +83,11 @@
                 joined: record.joined_version,
             });
         }
-        if let Some((number, seen)) = self.sheet_seen
-            && signal.sheet_number < number
-            && now > seen + SHEET_GRACE
-        {
+        let required = self.sheets.as_ref().map_or(0, |sheets| sheets.required);
+        if signal.sheet_number < required {
             return Err(RenewalRefusal::SheetNotApplied {
                 applied: signal.sheet_number,
-                accepted: number,
+                accepted: required,
             });
         }
         self.check_fences(state, entry, signal, now)?;
@@ -130,15 +129,24 @@
         Ok(())
     }
 
-    /// Notes when the leader saw a sheet first.
+    /// Notes when the leader saw a sheet first, and which sheets must be applied by now.
     ///
-    /// A sheet that was accepted before this leadership has no grace: its acceptance time is unknown.
+    /// Each sheet has a grace of its own: one for the latest sheet only would begin again with every
+    /// sheet. A sheet that was accepted before this leadership has none: its acceptance time is unknown.
     pub(super) fn note_sheet(&mut self, state: &ClusterState, now: Micros) {
         let number = state.sheet().map_or(0, |record| record.number);
-        match self.sheet_seen {
-            None => self.sheet_seen = Some((number, Micros::ZERO)),
-            Some((seen, _)) if seen < number => self.sheet_seen = Some((number, now)),
-            Some(_) => {}
+        let first = || SheetWatch { required: number, recent: VecDeque::new() };
+        let sheets = self.sheets.get_or_insert_with(first);
+        let latest = sheets.recent.back().map_or(sheets.required, |(latest, _)| *latest);
+        if number > latest {
+            sheets.recent.push_back((number, now));
+        }
+        while let Some((number, seen)) = sheets.recent.front().copied() {
+            if now <= seen + SHEET_GRACE {
+                return;
+            }
+            sheets.required = number;
+            sheets.recent.pop_front();
         }
     }
 
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -20,7 +20,7 @@
         route::TargetRole,
         time::{Micros, NODE_LEASE, grantor_expiry},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
 /// Gap between two ticks after which the leader's own process counts as paused.
@@ -116,6 +116,15 @@
     candidate_seen: Micros,
 }
 
+/// Sheets that entries must apply, as one leader saw them accepted.
+#[derive(Clone, Debug)]
+struct SheetWatch {
+    /// Highest number whose grace has run out.
+    required: u64,
+    /// Later numbers and when each was seen first, in their order.
+    recent: VecDeque<(u64, Micros)>,
+}
+
 /// What the control leader has observed of entries and targets.
 #[derive(Clone, Debug)]
 pub struct LivenessTable {
@@ -129,7 +138,7 @@
     reached: FastMap<TargetKey, Micros>,
     fences: BTreeMap<SharedName, FenceSignal>,
     expiring: BTreeSet<BrokerRef>,
-    sheet_seen: Option<(u64, Micros)>,
+    sheets: Option<SheetWatch>,
     /// Version of the latest change of an entry and when it was seen.
     entries_seen: Option<(u64, Micros)>,
 }
@@ -159,7 +168,7 @@
             reached: FastMap::default(),
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
-            sheet_seen: None,
+            sheets: None,
             entries_seen: None,
         }
     }
--- a/crates/core/tests/promotion_rules.rs
+++ b/crates/core/tests/promotion_rules.rs
@@ -126,6 +126,34 @@
     assert!(matches!(renew(&mut next, 0, late), Err(RenewalRefusal::SheetNotApplied { .. })));
 }
 
+/// Guards against a grace that begins again with each sheet: sheets in quick succession would let an entry
+/// that applies none of them keep its lease for as long as they come.
+#[test]
+fn later_sheets_do_not_extend_the_grace() {
+    let mut fixture = Fixture::default();
+    let entry = fixture.join("e");
+    let mut table = LivenessTable::new(T0);
+    fixture.beat(&mut table, &entry, 0, T0);
+    table.renew(&fixture.state, &entry, T0, T0).unwrap();
+    let mut now = T0;
+    for number in 1..=4 {
+        fixture.apply(&ClusterCommand::ApplySheet {
+            number,
+            content: format!("sheet {number}"),
+            operator: String::new(),
+            request_id: String::new(),
+        });
+        fixture.beat(&mut table, &entry, 0, now);
+        let renewed = table.renew(&fixture.state, &entry, now, now);
+        assert_eq!(renewed.is_ok(), now <= T0 + SHEET_GRACE, "at {now:?}: {renewed:?}");
+        now += Micros(SHEET_GRACE.0 * 2 / 3);
+    }
+    // The grace of the third sheet has not run out, that of the second has.
+    fixture.beat(&mut table, &entry, 2, T0 + Micros(SHEET_GRACE.0 * 9 / 4));
+    let now = T0 + Micros(SHEET_GRACE.0 * 9 / 4);
+    assert_eq!(table.renew(&fixture.state, &entry, now, now), Ok(()));
+}
+
 /// Guards against a candidate that is chosen by positions read before the last acknowledgement.
 #[test]
 fn positions_from_before_the_fence_do_not_count() {
