fix(core): count no server that lost its log as a witness of commits

Cause: a candidate was chosen from all servers but one. A replica that came back with an empty log counted as an answer; with the other replica far behind and the primary lost, the copies of acknowledged writes were outvoted and a server without them was promoted. Change: a new incarnation with a lower position than before, or with an unknown earlier one, is marked in control's log before it is recorded, and counts only once it has reached the primary's later position, or if every server answers. A server announces a new incarnation before it follows a primary. Ruled out: comparing positions only (a server can copy past its last announced position before it is heard); marking every restart (a restarted primary could not be chosen while a replica is down).

--- a/crates/control/src/announce.rs
+++ b/crates/control/src/announce.rs
@@ -4,7 +4,7 @@
     crate::{
         command_log::{CommandLog, LogError},
         members::MemberControl,
-        node::{ControlNode, NodeError, check_names},
+        node::{ControlNode, NodeError, check_names, lock},
         view,
     },
     banyansill_core::{
@@ -13,13 +13,15 @@
     },
     banyansill_wire::v1,
     futures::future::join_all,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 struct Arrival {
     key: TargetKey,
     info: TargetInfo,
     heard: TargetAnnouncement,
+    /// Whether the server came back without what it had confirmed.
+    lost_log: bool,
 }
 
 impl Arrival {
@@ -27,7 +29,7 @@
         check(announcement)?;
         let key = (announcement.database.as_str().into(), announcement.server.as_str().into());
         let info = view::target_info(announcement);
-        Ok(Self { key, info, heard: view::target_announcement(announcement) })
+        Ok(Self { key, info, heard: view::target_announcement(announcement), lost_log: false })
     }
 }
 
@@ -100,16 +102,21 @@
     /// Records what is new in the log and notes the rest; returns the last rejection, if any.
     async fn take(&self, arrivals: Vec<Arrival>) -> Result<(), NodeError> {
         let now = self.clock.now();
+        let leader = Arc::clone(&self.leader);
         let looked_up = self
             .log
             .inspect(move |state| {
                 let mut known = Vec::new();
                 let mut new = Vec::new();
-                for arrival in arrivals {
+                let leader = lock(&leader);
+                for mut arrival in arrivals {
                     let record = state.target(&arrival.key.0, &arrival.key.1);
                     if record.is_some_and(|record| record.info == arrival.info) {
                         known.push(arrival);
                     } else {
+                        arrival.lost_log = leader.as_ref().is_some_and(|leader| {
+                            leader.table.has_lost_log(state, &arrival.key, &arrival.heard)
+                        });
                         new.push(arrival);
                     }
                 }
@@ -140,6 +147,16 @@
     async fn record(&self, arrival: Arrival) -> Result<Arrival, NodeError> {
         let (database, server) = arrival.key.clone();
         let info = arrival.info.clone();
+        if arrival.lost_log {
+            // Logged first, so that the server counts for no choice of a candidate in between.
+            self.propose(ClusterCommand::SetRejoining {
+                database: database.clone(),
+                server: server.clone(),
+                incarnation: info.incarnation,
+                rejoining: true,
+            })
+            .await?;
+        }
         self.propose(ClusterCommand::RecordTarget { database, server, info }).await?;
         Ok(arrival)
     }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -66,6 +66,7 @@
             ],
         ),
         ClusterCommand::DrainEntry { .. }
+        | ClusterCommand::SetRejoining { .. }
         | ClusterCommand::DrainTarget { .. }
         | ClusterCommand::ForgetTarget { .. } => return,
     };
--- a/crates/core/src/cluster/apply.rs
+++ b/crates/core/src/cluster/apply.rs
@@ -37,6 +37,9 @@
             ClusterCommand::RecordTarget { database, server, info } => {
                 self.record_target(index, database, server, info)
             }
+            ClusterCommand::SetRejoining { database, server, incarnation, rejoining } => {
+                self.set_rejoining(&database, &server, incarnation, rejoining)
+            }
             ClusterCommand::SetTargetLive { database, server, expected_version, live } => {
                 self.set_target_live(index, &database, &server, expected_version, live)
             }
@@ -253,6 +256,7 @@
             epoch: 0,
             assigned_version: 0,
             version: 0,
+            rejoining: None,
         });
         record.live = record.live || record.info.incarnation != info.incarnation;
         record.info = info;
@@ -312,6 +316,31 @@
         self.touch(index, ChangedItem::Database(other));
     }
 
+    // No entry acts on the mark, so the version of the group does not change.
+    fn set_rejoining(
+        &mut self,
+        database: &SharedName,
+        server: &SharedName,
+        incarnation: u64,
+        rejoining: bool,
+    ) -> Outcome {
+        let record = self.target_mut(database, server)?;
+        let known = record.rejoining.unwrap_or_default();
+        if known > incarnation {
+            return Err(not_allowed("a later incarnation is marked"));
+        }
+        let next = if rejoining {
+            Some(incarnation)
+        } else if known == incarnation {
+            None
+        } else {
+            record.rejoining
+        };
+        let changed = record.rejoining != next;
+        record.rejoining = next;
+        Ok(changed)
+    }
+
     fn set_target_live(
         &mut self,
         index: u64,
--- a/crates/core/src/cluster/command.rs
+++ b/crates/core/src/cluster/command.rs
@@ -43,6 +43,17 @@
         /// The target's own account of itself.
         info: TargetInfo,
     },
+    /// Marks a server that lost its log, or removes the mark once it has caught up.
+    SetRejoining {
+        /// Database group.
+        database: SharedName,
+        /// Server name.
+        server: SharedName,
+        /// Incarnation that began without the log.
+        incarnation: u64,
+        /// Whether the server still lacks what it had confirmed before.
+        rejoining: bool,
+    },
     /// Sets whether a target is reachable.
     SetTargetLive {
         /// Database group.
--- a/crates/core/src/cluster/record.rs
+++ b/crates/core/src/cluster/record.rs
@@ -97,6 +97,9 @@
     pub assigned_version: u64,
     /// Version of the last change of `info`, `live` or `drained`.
     pub version: u64,
+    /// Incarnation that began without what the server had confirmed before, until it has caught up.
+    #[serde(default)]
+    pub rejoining: Option<u64>,
 }
 
 impl TargetRecord {
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -103,6 +103,8 @@
 struct TargetSignal {
     first_heard: Micros,
     heard: Micros,
+    /// When the present incarnation was heard first.
+    begun: Micros,
     announcement: TargetAnnouncement,
 }
 
@@ -207,11 +209,40 @@
             if announcement.incarnation < signal.announcement.incarnation {
                 return;
             }
+            if announcement.incarnation > signal.announcement.incarnation {
+                signal.begun = now;
+            }
             signal.heard = now;
             signal.announcement = announcement;
             return;
         }
-        self.targets.insert(key, TargetSignal { first_heard: now, heard: now, announcement });
+        let signal = TargetSignal { first_heard: now, heard: now, begun: now, announcement };
+        self.targets.insert(key, signal);
+    }
+
+    /// Returns whether a server announces a new incarnation that lacks what an earlier one had.
+    ///
+    /// A leader that has not heard the earlier incarnation cannot tell, and assumes that it does.
+    #[must_use]
+    pub fn has_lost_log(
+        &self,
+        state: &ClusterState,
+        key: &TargetKey,
+        announcement: &TargetAnnouncement,
+    ) -> bool {
+        let Some(record) = state.target(&key.0, &key.1) else { return false };
+        if record.info.incarnation >= announcement.incarnation {
+            return false;
+        }
+        self.targets
+            .get(key)
+            .is_none_or(|signal| announcement.position < signal.announcement.position)
+    }
+
+    /// Returns when the leader heard the present incarnation of a target first.
+    #[must_use]
+    pub fn begun(&self, key: &TargetKey) -> Option<Micros> {
+        self.targets.get(key).map(|signal| signal.begun)
     }
 
     /// Advances the table: notes pauses of this process, new sheets, closed terms and fences.
--- a/crates/core/src/promotion/change.rs
+++ b/crates/core/src/promotion/change.rs
@@ -62,6 +62,7 @@
     now: Micros,
 ) -> ChangeOutlook {
     let mut answers: Vec<(LogPosition, &SharedName, &TargetRecord)> = Vec::new();
+    let mut rejoining = 0;
     for (server, target) in &group.targets {
         let key = (name.clone(), server.clone());
         if !matches!(
@@ -73,11 +74,19 @@
         let Some(position) = table.position_since(state, &key, target, since, now) else {
             continue;
         };
+        // A new incarnation may be reached by its broker before control hears its announcement.
+        let announced = table.announcement(&key).map(|(_, announcement)| announcement.position);
+        let fell = announced.is_some_and(|announced| position < announced);
+        rejoining += usize::from(fell || target.rejoining.is_some());
         answers.push((position, server, target));
     }
+    // A server that lost its log does not show which commits it had confirmed. Only when every server
+    // answers can no more be learnt, and the highest position that is left has to do.
     let required = required_answers(group.targets.len());
-    if answers.len() < required {
-        return ChangeOutlook::TooFewAnswers { answers: answers.len(), required };
+    let complete = answers.len() == group.targets.len();
+    let answered = if complete { answers.len() } else { answers.len() - rejoining };
+    if answered < required {
+        return ChangeOutlook::TooFewAnswers { answers: answered, required };
     }
     let highest = answers.iter().map(|(position, ..)| *position).max().unwrap_or_default();
     let home = group.primary.as_ref().and_then(|primary| group.targets.get(primary));
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -63,6 +63,7 @@
                 });
             }
             commands.extend(liveness(state, table, &key, target, now));
+            commands.extend(caught_up(state, table, &key, (group, target), now));
             commands.extend(removal(state, table, &key, (group, target), now));
         }
         commands.extend(next_step(state, table, name, group, now));
@@ -93,6 +94,34 @@
     })
 }
 
+/// Ends the mark of a server that lost its log, once it has what the primary had after it came back.
+fn caught_up(
+    state: &ClusterState,
+    table: &LivenessTable,
+    key: &TargetKey,
+    (group, target): (&DatabaseRecord, &TargetRecord),
+    now: Micros,
+) -> Option<ClusterCommand> {
+    let incarnation = target.rejoining?;
+    let primary = group.primary.as_ref().filter(|_| !group.closed)?;
+    // Positions that arrive earlier may have been read before the server came back.
+    let begun = table.begun(key)? + OBSERVATION_AGE;
+    if *primary != key.1 {
+        let record = group.targets.get(primary)?;
+        let source = (key.0.clone(), primary.clone());
+        let wanted = table.position_since(state, &source, record, begun, now)?;
+        if table.position_since(state, key, target, begun, now)? < wanted {
+            return None;
+        }
+    }
+    Some(ClusterCommand::SetRejoining {
+        database: key.0.clone(),
+        server: key.1.clone(),
+        incarnation,
+        rejoining: false,
+    })
+}
+
 /// Removes a target that was leaving, has been silent for long, and holds nothing that a live target
 /// of its group lacks.
 fn removal(
--- a/crates/core/tests/promotion_faults.rs
+++ b/crates/core/tests/promotion_faults.rs
@@ -78,6 +78,29 @@
         failover(&mut world, Micros::from_secs(10));
     }
 
+    /// Guards against a server that came back without its log and counts as a witness of what was
+    /// acknowledged: its empty log and that of a server far behind would outvote the lost copies.
+    #[test]
+    fn server_without_its_log_is_no_witness(seed in any::<u64>(), gap in 0..700_u64, elect in any::<bool>()) {
+        let mut world = settled(seed);
+        let first = world.targets.iter().position(|target| target.role_is_primary()).unwrap();
+        let (second, third) = ((first + 1) % 3, (first + 2) % 3);
+        world.inject(Fault::SlowTarget(third));
+        world.run(Micros::from_secs(2));
+        world.inject(Fault::ReplaceTarget(second));
+        if elect {
+            world.inject(Fault::ChangeLeader(100));
+        }
+        world.run(Micros::from_millis(gap));
+        world.inject(Fault::KillTarget(first));
+        world.run(Micros::from_secs(10));
+        world.inject(Fault::RestartTarget(first));
+        let count = world.acked.len();
+        world.run_until("a write after the repair", Micros::from_secs(40), |world| {
+            world.acked.len() > count
+        });
+    }
+
     /// Guards against a planned change that never comes or loses a write that was only on the primary.
     #[test]
     fn leaving_primary_hands_over(seed in any::<u64>()) {
--- a/crates/core/tests/sim/fault.rs
+++ b/crates/core/tests/sim/fault.rs
@@ -18,6 +18,8 @@
     DrainEntry(usize),
     KillTarget(usize),
     RestartTarget(usize),
+    /// The server comes back without its log.
+    ReplaceTarget(usize),
     LeaveTarget(usize),
     SlowTarget(usize),
     UnheardTarget(usize),
@@ -69,8 +71,13 @@
                 let target = &mut self.targets[number];
                 target.alive = true;
                 target.incarnation += 1;
+                target.heard = false;
                 target.leaving = false;
             }
+            Fault::ReplaceTarget(number) => {
+                self.inject(Fault::RestartTarget(number));
+                self.targets[number].log.clear();
+            }
             Fault::LeaveTarget(number) => self.targets[number].leaving = true,
             Fault::SlowTarget(number) => self.targets[number].lagging = true,
             Fault::UnheardTarget(number) => self.targets[number].unheard = true,
@@ -111,6 +118,7 @@
             if !target.alive {
                 target.alive = true;
                 target.incarnation += 1;
+                target.heard = false;
             }
             target.leaving = false;
             target.unheard = false;
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -274,12 +274,23 @@
             let target = &mut self.targets[number];
             let Some((info, announcement)) = target.announcement(self.now) else { continue };
             let Some(table) = &mut self.table else { continue };
-            let (database, server) = (DATABASE.into(), target.name.clone());
-            table.announce(self.now, (database, server.clone()), announcement);
+            let server = target.name.clone();
+            let key = (DATABASE.into(), server.clone());
+            let lost_log = table.has_lost_log(&self.state, &key, &announcement);
+            table.announce(self.now, key, announcement);
+            if lost_log {
+                self.commit(&ClusterCommand::SetRejoining {
+                    database: DATABASE.into(),
+                    server: server.clone(),
+                    incarnation: info.incarnation,
+                    rejoining: true,
+                });
+            }
             if self.state.target(DATABASE, &server).is_none_or(|record| record.info != info) {
                 let database = DATABASE.into();
                 self.commit(&ClusterCommand::RecordTarget { database, server, info });
             }
+            self.targets[number].heard = true;
         }
     }
 }
--- a/crates/core/tests/sim/parts.rs
+++ b/crates/core/tests/sim/parts.rs
@@ -38,6 +38,8 @@
     pub term: u64,
     /// Term of each entry of the log.
     pub log: Vec<u64>,
+    /// Whether control has taken an announcement of this incarnation; it follows nobody before.
+    pub heard: bool,
     following: Option<SharedName>,
     announced: Micros,
     number: usize,
@@ -56,6 +58,7 @@
             role: if primary { TargetRole::Primary } else { TargetRole::Replica },
             term: 1,
             log: Vec::new(),
+            heard: false,
             following: (!primary).then(|| "server-0".into()),
             announced: Micros::ZERO,
             number,
@@ -104,7 +107,7 @@
             let target = &targets[number];
             let Some(source) = target.following.clone() else { continue };
             let Some(source) = targets.iter().find(|other| other.name == source) else { continue };
-            if !target.alive || !source.alive || source.term != target.term {
+            if !target.alive || !target.heard || !source.alive || source.term != target.term {
                 continue;
             }
             let chance = if target.lagging { 0.05 } else { 0.6 };
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -76,7 +76,10 @@
         let index = (first + step) % control.len();
         let result = timeout(ANSWER_LIMIT, post(control[index], body(shared))).await;
         match result {
-            Ok(Ok(status)) if status.is_success() => return index,
+            Ok(Ok(status)) if status.is_success() => {
+                shared.heard.send_replace(true);
+                return index;
+            }
             Ok(Ok(status)) => log::debug!("{}: {status}", control[index]),
             Ok(Err(error)) => log::debug!("{}: {error}", control[index]),
             Err(_) => log::debug!("{}: no answer", control[index]),
--- a/crates/standin/src/replication.rs
+++ b/crates/standin/src/replication.rs
@@ -161,6 +161,11 @@
 pub async fn follow(shared: Arc<SharedServer>) {
     let mut ended = shared.ended.subscribe();
     let mut changed = shared.changed.subscribe();
+    let mut heard = shared.heard.subscribe();
+    tokio::select! {
+        _ = ended.wait_for(|ended| *ended) => return,
+        _ = heard.wait_for(|heard| *heard) => {}
+    }
     loop {
         changed.mark_unchanged();
         let (target, epoch) = {
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -131,6 +131,9 @@
     pub changed: watch::Sender<u64>,
     /// Set when the server announces that it is leaving.
     pub leaving: watch::Sender<bool>,
+    /// Set when control has taken an announcement; the server changes its log only afterwards, so that
+    /// control sees with which log it began.
+    pub heard: watch::Sender<bool>,
     /// Number of the connection accepted last.
     pub last_pid: AtomicI32,
     /// Set when every task has to end.
@@ -165,6 +168,7 @@
             },
             changed: watch::channel(0).0,
             leaving: watch::channel(false).0,
+            heard: watch::channel(settings.control.is_empty()).0,
             last_pid: AtomicI32::new(0),
             ended: watch::channel(false).0,
             connection_cost_ms: AtomicU64::new(settings.connection_cost_ms),
