fix(entry): end callers after an answer at a planned stop, and accept none without a lease

Cause: at a planned stop idle callers were told at once, which could cross their next request: a driver that had noticed the end reports a closed connection, and its caller cannot know that the request was not run. And an entry that had just started accepted callers before it held a lease, so that their first request was refused. rolling_restart_cuts_off_no_request failed both ways on a busy machine. Change: a session that has run a statement since the stop began ends right after the answer; an idle one has one second for one more request, also between Prepare and Execute.

--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -25,6 +25,12 @@
 /// Time for which input is discarded after the last error, so that a crossing request's caller reads it.
 const CLOSE_WAIT: Duration = Duration::from_millis(250);
 
+/// Time that an idle caller has for one more request at a planned stop.
+///
+/// A caller that is told while it sends a request cannot tell whether the request was run. Right after an
+/// answer it is least likely to send one, so a session in use ends there.
+const DRAIN_IDLE: Duration = Duration::from_secs(1);
+
 /// Bytes of a batch above which it is sent to the target before its Sync has come.
 pub(super) const BATCH_LIMIT: usize = 1 << 20;
 
@@ -131,6 +137,8 @@
     /// The target reported an error in the last exchange.
     pub(super) target_error: bool,
     draining: watch::Receiver<bool>,
+    /// A statement was run since the planned stop began.
+    served_last: bool,
 }
 
 /// Serves one connection to its end.
@@ -170,6 +178,7 @@
                 sync_seen: true,
                 target_error: false,
                 draining,
+                served_last: false,
             };
             let end = session.run().await;
             finish(&session.stream, end).await;
@@ -198,6 +207,14 @@
     }
 }
 
+/// Waits until a session at rest ends because of a planned stop.
+async fn drain_due(draining: &mut watch::Receiver<bool>, served_last: bool) {
+    let _ = draining.wait_for(|draining| *draining).await;
+    if !served_last {
+        sleep(DRAIN_IDLE).await;
+    }
+}
+
 impl<R> CallerSession<R>
 where
     R: GrantRouter,
@@ -232,7 +249,7 @@
                 Some(frame) => return Ok(Some(frame)),
                 None => return Err(SessionEnd::Closed),
             },
-            _ = self.draining.wait_for(|draining| *draining), if at_rest => {
+            () = drain_due(&mut self.draining, self.served_last), if at_rest => {
                 return Err(SessionEnd::Failure(FailureKind::Draining, ""));
             }
             output = next_output(&mut self.grant), if self.grant.is_some() => output,
@@ -272,6 +289,10 @@
         if self.skipping && !matches!(frame.tag, b'S' | b'X') {
             return Ok(());
         }
+        // A batch that only prepares a statement is followed by the one that runs it.
+        if matches!(frame.tag, b'Q' | b'E') && *self.draining.borrow() {
+            self.served_last = true;
+        }
         match frame.tag {
             b'Q' => self.query(frame).await,
             b'P' | b'B' | b'D' | b'E' | b'C' => {
--- a/crates/entry/src/session/startup.rs
+++ b/crates/entry/src/session/startup.rs
@@ -187,6 +187,10 @@
     if shared.registry.is_full() {
         return Err(SessionEnd::Failure(FailureKind::TooManyCallers, ""));
     }
+    // Without a lease the first request would be refused; told now, the caller tries another entry.
+    if !shared.lease.is_valid() {
+        return Err(SessionEnd::Failure(FailureKind::NoLease, ""));
+    }
     let identity = CallerIdentity::new(&parameters)?;
     if let Some(passwords) = &shared.passwords {
         passwords.check(stream, &identity.user).await?;
--- a/crates/entry/tests/session_lifecycle.rs
+++ b/crates/entry/tests/session_lifecycle.rs
@@ -175,6 +175,29 @@
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
 
+// Guards against a planned stop that tells an idle caller at the moment of its next request, which the
+// caller could not tell from a request that was cut off; and against an end between Prepare and Execute.
+#[tokio::test]
+async fn drain_serves_one_more_request_of_an_idle_caller() {
+    let bench = Bench::open().await;
+    let mut plain = bench.raw().await;
+    let (client, connection) = bench.config().connect(tokio_postgres::NoTls).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let drain = bench.handle.drain(Duration::from_secs(10));
+    let work = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(plain.query("INSERT INTO t VALUES (1)").await.last().unwrap(), "ZI");
+        let (tag, body) = plain.next().await.unwrap();
+        assert!(tag == 'E' && String::from_utf8_lossy(&body).contains("57P01"));
+        let statement = client.prepare("INSERT INTO t VALUES (2)").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        client.execute(&statement, &[]).await.unwrap();
+        assert!(connection.await.unwrap().is_err(), "the caller is told");
+    };
+    let (open, ()) = tokio::join!(drain, work);
+    assert_eq!(open, 0);
+}
+
 // Guards against a stop that waits for ever, and a report that hides who was cut off.
 #[tokio::test]
 async fn drain_reports_who_is_left() {
