perf(entry): register target connections with the event loop of the grant

Cause: a grant already ran on the worker thread of its session, because `tokio::spawn` takes the runtime of the caller, but its target connection stayed registered with the shared runtime. Each answer woke a thread of that runtime, which woke the worker. A worker thread that ended took its grants with it: the slot was free and the grant no longer counted while the target still executed, and a write counted as open for good, which holds up a planned change.

Change: a connection is registered with the event loop of the thread that takes it, and the pool prefers connections that are registered there. A grant whose thread ends hands its connection to the shared runtime, which cancels, waits and closes; the slot and the counts go along. A planned stop ends the workers only after the open grants.

--- a/crates/entry/src/broker/connection.rs
+++ b/crates/entry/src/broker/connection.rs
@@ -24,6 +24,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        runtime::{self, Handle},
         sync::Notify,
         time::{Instant, timeout},
     },
@@ -121,10 +122,20 @@
     }
 }
 
+/// Event loop that a connection can be registered with.
+pub(super) type EventLoop = runtime::Id;
+
+/// Returns the event loop of the current task.
+pub(super) fn current_loop() -> EventLoop {
+    Handle::current().id()
+}
+
 /// Open connection to a target in a known protocol state.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
     pub(super) stream: TcpStream,
+    /// Event loop that reports the readiness of the stream.
+    pub(super) registered: EventLoop,
     pub(super) read: BytesMut,
     pub(super) replies: ReplyTracker,
     pub(super) cancel_key: CancelKey,
@@ -160,6 +171,7 @@
         let cancel_key = CancelKey { address: address.to_owned(), process: 0, secret: 0 };
         let mut connection = Self {
             stream,
+            registered: current_loop(),
             read: BytesMut::with_capacity(READ_BUFFER),
             replies: ReplyTracker::default(),
             cancel_key,
@@ -181,6 +193,23 @@
         Ok(connection)
     }
 
+    /// Registers the connection with the event loop of the current task.
+    ///
+    /// Readiness that another loop reports costs a wake-up of that loop's thread and one of this.
+    /// A loop whose thread has ended reports nothing, but its connections can still be moved.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot be registered; the connection is closed.
+    pub(super) fn register_here(self) -> io::Result<Self> {
+        let here = current_loop();
+        if self.registered == here {
+            return Ok(self);
+        }
+        let stream = TcpStream::from_std(self.stream.into_std()?)?;
+        Ok(Self { stream, registered: here, ..self })
+    }
+
     async fn authenticate(&mut self, settings: &BrokerSettings) -> Result<(), ConnectionFault> {
         let password = settings.password.as_deref().unwrap_or_default();
         let mut scram: Option<ScramSha256> = None;
--- a/crates/entry/src/broker/grant.rs
+++ b/crates/entry/src/broker/grant.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         connection::TargetConnection,
-        hub::HubShared,
+        hub::{GrantCount, HubShared},
         target::{
-            HeldSlot, QueuedSlot, SlotAnswer, SlotAssignment, TargetGate, TargetShared, failure,
-            gate_closed,
+            HeldSlot, QueuedSlot, SlotAnswer, SlotAssignment, TargetGate, TargetShared, WriteCount,
+            failure, gate_closed,
         },
     },
     crate::link::{
@@ -99,11 +99,23 @@
     /// A cancel was sent for the running statement.
     pub(super) cancelling: bool,
     pub(super) cancel_in_doubt: bool,
+    /// Passed on to the settlement of the connection, which ends after the grant.
+    count: Option<GrantCount>,
+    write: Option<WriteCount>,
 }
 
 impl GrantTask {
-    pub(super) async fn run(shared: Arc<TargetShared>, hub: Arc<HubShared>, peer: GrantPeer) {
+    pub(super) async fn run(
+        shared: Arc<TargetShared>,
+        hub: Arc<HubShared>,
+        peer: GrantPeer,
+        count: GrantCount,
+    ) {
         let opened = Instant::now();
+        // Counted before the gate is checked, so that a term with an admitted write is never reported
+        // as fenced.
+        let writes = peer.request.access == GrantAccess::Write;
+        let write = writes.then(|| WriteCount::new(&shared));
         let gate = shared.gate.subscribe();
         let deadline = opened + peer.request.deadline.as_duration();
         let mut grant = Self {
@@ -133,22 +145,14 @@
             tainted: false,
             cancelling: false,
             cancel_in_doubt: false,
+            count: Some(count),
+            write,
         };
-        // Counted before the gate is checked, so that a term with an admitted write is never reported
-        // as fenced.
-        let writes = grant.writes();
-        let shared = Arc::clone(&grant.shared);
-        if writes {
-            shared.writers.fetch_add(1, Ordering::SeqCst);
-        }
         let end = match grant.begin().await {
             Ok(()) => grant.serve().await,
             Err(end) => end,
         };
         grant.end(end).await;
-        if writes {
-            shared.writers.fetch_sub(1, Ordering::SeqCst);
-        }
     }
 
     pub(super) fn writes(&self) -> bool {
@@ -195,7 +199,9 @@
 
     pub(super) fn take_slot(&mut self, assignment: SlotAssignment) {
         self.slot = Some(assignment.slot);
-        if let Some(connection) = assignment.connection {
+        if let Some(connection) = assignment.connection
+            && let Ok(connection) = connection.register_here()
+        {
             self.baseline = connection.position();
             self.connection = Some(connection);
             self.shared.counters.granted.fetch_add(1, Ordering::Relaxed);
@@ -307,7 +313,7 @@
         }
     }
 
-    async fn end(mut self, end: GrantEnd) {
+    async fn end(&mut self, end: GrantEnd) {
         self.queued = None;
         let notice = match end {
             GrantEnd::Released => None,
@@ -324,55 +330,96 @@
             Err(mpsc::error::TrySendError::Full(notice)) => Some(notice),
             _ => None,
         });
-        let output = self.output.clone();
-        self.settle_connection().await;
         // The connection is settled first: a session that does not read must not keep it.
+        self.settle();
         if let Some(notice) = late {
-            let _ = output.send(notice).await;
+            let _ = self.output.send(notice).await;
         }
     }
 
-    // A closed gate ends every wait at once, so that no connection outlives the lease.
-    async fn settle_connection(mut self) {
+    // Does not wait, because it also runs when the thread of the grant ends.
+    fn settle(&mut self) {
         let Some(connection) = self.connection.take() else { return };
-        let mut gate = self.gate.clone();
-        tokio::select! {
-            () = self.settle(connection) => {}
-            () = gate_closed(&mut gate) => {}
-        }
-    }
-
-    async fn settle(&mut self, mut connection: TargetConnection) {
         let state = ConnectionState {
             idle: self.status == TransactionStatus::Idle,
             mid_answer: !connection.replies.is_idle() || !self.wire.is_empty(),
             cancel_in_doubt: self.cancel_in_doubt || self.cancelling,
             tainted: self.tainted,
         };
-        match state.verdict() {
-            ReuseVerdict::Reuse => {
-                self.slot = None;
-                self.shared.put_back(connection);
-            }
-            ReuseVerdict::Reset => {
-                self.slot = None;
-                if connection.discard_all(CANCEL_WAIT).await.is_ok() {
-                    self.shared.put_back(connection);
-                }
-            }
-            ReuseVerdict::Close => {
-                let fields = [
-                    ("database", self.shared.database.to_string()),
-                    ("server", self.shared.server.to_string()),
-                ];
-                self.shared.events.record(EventNumber::ConnectionDiscarded, &fields);
-                if state.mid_answer {
-                    // The slot stays taken while the target may still execute the statement.
-                    let key = connection.cancel_key.clone();
-                    let _ = key.send(CANCEL_WAIT).await;
-                    let _ = timeout(CANCEL_WAIT, drain(&mut connection)).await;
-                }
-            }
+        let verdict = state.verdict();
+        if verdict == ReuseVerdict::Reuse {
+            self.slot = None;
+            self.shared.put_back(connection);
+            return;
+        }
+        let settlement = ConnectionSettlement {
+            shared: Arc::clone(&self.shared),
+            connection,
+            slot: self.slot.take(),
+            _count: self.count.take(),
+            _write: self.write.take(),
+        };
+        if verdict == ReuseVerdict::Reset {
+            self.hub.runtime.spawn(settlement.reset());
+            return;
+        }
+        let fields = [
+            ("database", self.shared.database.to_string()),
+            ("server", self.shared.server.to_string()),
+        ];
+        self.shared.events.record(EventNumber::ConnectionDiscarded, &fields);
+        if state.mid_answer {
+            self.hub.runtime.spawn(settlement.close());
+        }
+    }
+}
+
+impl Drop for GrantTask {
+    fn drop(&mut self) {
+        self.settle();
+    }
+}
+
+/// Connection of an ended grant on its way to a known state.
+///
+/// Runs on the shared runtime, so that it outlives the thread of the grant.
+struct ConnectionSettlement {
+    shared: Arc<TargetShared>,
+    connection: TargetConnection,
+    slot: Option<HeldSlot>,
+    _count: Option<GrantCount>,
+    _write: Option<WriteCount>,
+}
+
+impl ConnectionSettlement {
+    async fn reset(mut self) {
+        self.slot = None;
+        let shared = Arc::clone(&self.shared);
+        let mut gate = shared.gate.subscribe();
+        let Ok(mut connection) = self.connection.register_here() else { return };
+        // A closed gate ends every wait at once, so that no connection outlives the lease.
+        let reset = tokio::select! {
+            reset = connection.discard_all(CANCEL_WAIT) => reset,
+            () = gate_closed(&mut gate) => return,
+        };
+        if reset.is_ok() {
+            shared.put_back(connection);
+        }
+    }
+
+    async fn close(self) {
+        let shared = Arc::clone(&self.shared);
+        let mut gate = shared.gate.subscribe();
+        let Ok(mut connection) = self.connection.register_here() else { return };
+        // The slot stays taken while the target may still execute the statement.
+        let end = async {
+            let key = connection.cancel_key.clone();
+            let _ = key.send(CANCEL_WAIT).await;
+            let _ = timeout(CANCEL_WAIT, drain(&mut connection)).await;
+        };
+        tokio::select! {
+            () = end => {}
+            () = gate_closed(&mut gate) => {}
         }
     }
 }
--- a/crates/entry/src/broker/hub.rs
+++ b/crates/entry/src/broker/hub.rs
@@ -35,6 +35,7 @@
         time::Duration,
     },
     tokio::{
+        runtime::Handle,
         sync::watch,
         task::JoinHandle,
         time::{Instant, interval, sleep},
@@ -71,6 +72,8 @@
     pub(super) clock: MonotonicClock,
     pub(super) lease: NodeLease,
     pub(super) events: EventSink,
+    /// Runtime of the brokers, which outlives the threads of the sessions.
+    pub(super) runtime: Handle,
     pub(super) routes: watch::Receiver<Arc<RouteTable>>,
     pub(super) peers: PeerPool,
     targets: RwLock<FastMap<TargetKey, Arc<TargetShared>>>,
@@ -110,13 +113,9 @@
             refuse(&peer, kind, "this host is not the target's broker");
             return;
         };
-        let hub = Arc::clone(self);
-        self.grants.fetch_add(1, Ordering::AcqRel);
-        tokio::spawn(async move {
-            let count = GrantCount(Arc::clone(&hub));
-            GrantTask::run(shared, hub, peer).await;
-            drop(count);
-        });
+        let count = GrantCount::new(self);
+        // On the session's thread: a handoff to another thread costs a wake-up per message.
+        tokio::spawn(GrantTask::run(shared, Arc::clone(self), peer, count));
     }
 
     /// Returns how many requests of the application and kind may run at a time per target.
@@ -220,7 +219,16 @@
     }
 }
 
-struct GrantCount(Arc<HubShared>);
+/// Counts an open grant of this host.
+#[derive(Debug)]
+pub(super) struct GrantCount(Arc<HubShared>);
+
+impl GrantCount {
+    fn new(hub: &Arc<HubShared>) -> Self {
+        hub.grants.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(hub))
+    }
+}
 
 impl Drop for GrantCount {
     fn drop(&mut self) {
@@ -256,6 +264,7 @@
             clock,
             lease,
             events,
+            runtime: Handle::current(),
             routes: routes.clone(),
             peers: PeerPool::new(clock),
             targets: RwLock::default(),
--- a/crates/entry/src/broker/keeper.rs
+++ b/crates/entry/src/broker/keeper.rs
@@ -123,9 +123,11 @@
     // One path may go silent while others work, so each idle connection proves itself.
     fn verify_oldest(&self) {
         let now = self.shared.clock.now();
-        let Some(mut connection) = self.shared.take_unverified(now.since(VERIFY_AGE)) else {
+        let Some(connection) = self.shared.take_unverified(now.since(VERIFY_AGE)) else {
             return;
         };
+        // A dropped connection is opened again by the next pass.
+        let Ok(mut connection) = connection.register_here() else { return };
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
             let mut gate = shared.gate.subscribe();
--- a/crates/entry/src/broker/pump.rs
+++ b/crates/entry/src/broker/pump.rs
@@ -460,7 +460,7 @@
         self.cancelling = true;
         let _ = connection.replies.take_cancelled();
         let key = connection.cancel_key.clone();
-        tokio::spawn(async move {
+        self.hub.runtime.spawn(async move {
             let _ = key.send(CANCEL_WAIT).await;
         });
     }
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -5,7 +5,9 @@
 
 use {
     super::{
-        connection::{ConnectionCounter, CountedConnection, TargetConnection},
+        connection::{
+            ConnectionCounter, CountedConnection, EventLoop, TargetConnection, current_loop,
+        },
         hub::HubShared,
         settings::BrokerSettings,
     },
@@ -76,6 +78,23 @@
     pub(super) waited: Micros,
 }
 
+/// Counts an open write grant of a target.
+#[derive(Debug)]
+pub(super) struct WriteCount(Arc<TargetShared>);
+
+impl WriteCount {
+    pub(super) fn new(shared: &Arc<TargetShared>) -> Self {
+        shared.writers.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for WriteCount {
+    fn drop(&mut self) {
+        self.0.writers.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Slot that returns to its queue when it is dropped.
 #[derive(Debug)]
 pub(super) struct HeldSlot {
@@ -121,18 +140,38 @@
     }
 }
 
-type SlotSender = oneshot::Sender<Result<SlotAssignment, LinkFailure>>;
+/// Grant that waits for a slot.
+#[derive(Debug)]
+struct SlotWaiter {
+    sender: oneshot::Sender<Result<SlotAssignment, LinkFailure>>,
+    /// Event loop of the grant's thread.
+    event_loop: EventLoop,
+}
 
 #[derive(Debug)]
 struct TargetState {
     queue: SlotQueue,
+    slots: u32,
     idle: Vec<TargetConnection>,
-    waiters: FastMap<SlotTicket, SlotSender>,
+    waiters: FastMap<SlotTicket, SlotWaiter>,
     opening: u32,
     rules: PoolRules,
     mark: Option<(LogTerm, LogPosition)>,
 }
 
+impl TargetState {
+    /// Takes the most recently used idle connection of `event_loop`, or else of any.
+    ///
+    /// Those near the end were used last, so unneeded ones age at the front.
+    fn take_idle(&mut self, event_loop: EventLoop) -> Option<TargetConnection> {
+        let registered = |connection: &TargetConnection| connection.registered == event_loop;
+        match self.idle.iter().rposition(registered) {
+            Some(index) => Some(self.idle.remove(index)),
+            None => self.idle.pop(),
+        }
+    }
+}
+
 /// Counters of a target since its broker opened.
 #[derive(Debug, Default)]
 pub(super) struct TargetCounters {
@@ -186,6 +225,7 @@
         let (slots, connections) = size;
         let state = TargetState {
             queue: SlotQueue::new(QueueRules::new(slots)),
+            slots,
             idle: Vec::new(),
             waiters: FastMap::default(),
             opening: 0,
@@ -241,6 +281,7 @@
     pub(super) fn resize(&self, slots: u32, connections: u32) {
         let mut state = self.lock();
         state.queue.set_slots(slots);
+        state.slots = slots;
         state.rules = PoolRules::new(slots, connections);
         drop(state);
         self.refill.notify_one();
@@ -276,12 +317,12 @@
             self.deliver(&mut state, start);
         }
         if let Some(start) = own {
-            let assignment = self.assignment(&mut state, start);
+            let assignment = self.assignment(&mut state, start, current_loop());
             self.dispatch(&mut state, now);
             return Ok(SlotAnswer::Now(assignment));
         }
         let (sender, answer) = oneshot::channel();
-        state.waiters.insert(ticket, sender);
+        state.waiters.insert(ticket, SlotWaiter { sender, event_loop: current_loop() });
         drop(state);
         self.refill.notify_one();
         Ok(SlotAnswer::Later(QueuedSlot { shared: Arc::clone(self), ticket, answer }))
@@ -289,35 +330,45 @@
 
     // A fresh request starts only with a connection at hand, so that a set-up never holds a slot.
     fn start_next(&self, state: &mut TargetState, now: Micros) -> Option<SlotStart> {
-        while let Some(connection) = state.idle.last_mut() {
-            if connection.is_usable() {
-                break;
-            }
-            state.idle.pop();
+        if state.queue.waiting() == 0 || state.queue.running() >= state.slots as usize {
+            return None;
+        }
+        let idle = state.idle.len();
+        state.idle.retain_mut(TargetConnection::is_usable);
+        if state.idle.len() < idle {
             self.refill.notify_one();
         }
         let fresh = !state.idle.is_empty();
         let start = state.queue.start_next(now, fresh);
         for ticket in state.queue.take_missed() {
-            if let Some(sender) = state.waiters.remove(&ticket) {
+            if let Some(waiter) = state.waiters.remove(&ticket) {
                 let detail = "the deadline would have passed while it ran";
-                let _ = sender.send(Err(failure(FailureKind::QueueTimeout, detail)));
+                let _ = waiter.sender.send(Err(failure(FailureKind::QueueTimeout, detail)));
             }
         }
         start
     }
 
-    fn assignment(self: &Arc<Self>, state: &mut TargetState, start: SlotStart) -> SlotAssignment {
-        let connection = if start.continues { None } else { state.idle.pop() };
+    fn assignment(
+        self: &Arc<Self>,
+        state: &mut TargetState,
+        start: SlotStart,
+        event_loop: EventLoop,
+    ) -> SlotAssignment {
+        let connection = if start.continues { None } else { state.take_idle(event_loop) };
         let slot = HeldSlot { shared: Arc::clone(self), ticket: Some(start.ticket) };
         SlotAssignment { slot, connection, waited: start.waited }
     }
 
     fn deliver(self: &Arc<Self>, state: &mut TargetState, start: SlotStart) {
-        let assignment = self.assignment(state, start);
         let refused = match state.waiters.remove(&start.ticket) {
-            Some(sender) => sender.send(Ok(assignment)),
-            None => Err(Ok(assignment)),
+            Some(SlotWaiter { sender, event_loop }) => {
+                sender.send(Ok(self.assignment(state, start, event_loop)))
+            }
+            None => {
+                state.queue.finish(start.ticket, None);
+                return;
+            }
         };
         // The requester has gone: undo the start within this lock.
         if let Err(Ok(mut assignment)) = refused {
@@ -434,8 +485,8 @@
             }
             waiters
         };
-        for (_, sender) in waiters {
-            let _ = sender.send(Err(failure(kind, detail)));
+        for (_, waiter) in waiters {
+            let _ = waiter.sender.send(Err(failure(kind, detail)));
         }
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -37,6 +37,10 @@
 /// Interval at which a stop looks for grants that still run.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Longest wait for the connections of grants that were cut off: a cancel takes up to a second, and
+/// the end of the cancelled statement another one.
+const SETTLE_BOUND: Duration = Duration::from_millis(2_500);
+
 /// An entry that cannot be started.
 #[derive(Debug, Error, Diagnostic)]
 pub enum EntryError {
@@ -203,13 +207,20 @@
         self.events.record(EventNumber::ProcessStopping, &[]);
         let end = Instant::now() + self.settings.drain_bound;
         self.membership.set_draining(true);
-        let cut = self.callers.drain(self.settings.drain_bound).await;
-        while self.brokers.open_grants() > 0 && Instant::now() < end {
-            sleep(STOP_POLL).await;
-        }
+        let cut = self.callers.drain_callers(self.settings.drain_bound).await;
+        // Grants run on the threads of the sessions, so these end last.
+        self.await_grants(end).await;
+        self.callers.close().await;
+        self.await_grants(Instant::now() + SETTLE_BOUND).await;
         self.peers.abort();
         self.admin.stop().await;
         self.events.record(EventNumber::ProcessStopped, &[("cut", cut.to_string())]);
         cut
     }
+
+    async fn await_grants(&self, end: Instant) {
+        while self.brokers.open_grants() > 0 && Instant::now() < end {
+            sleep(STOP_POLL).await;
+        }
+    }
 }
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -289,13 +289,26 @@
     ///
     /// Returns the number of callers that were still open at the bound and were cut off.
     pub async fn drain(&self, bound: Duration) -> usize {
+        let open = self.drain_callers(bound).await;
+        self.close().await;
+        open
+    }
+
+    /// Tells callers to end and waits for that; the threads of the sessions go on.
+    ///
+    /// Returns the number of callers that were still open at the bound.
+    pub async fn drain_callers(&self, bound: Duration) -> usize {
         let open = self.registry.drain(bound).await;
         if open > 0 {
             log::warn!("{open} callers were still open when the stop's bound passed");
         }
+        open
+    }
+
+    /// Ends the threads of the sessions and cuts off the callers that are still open.
+    pub async fn close(&self) {
         self.server.stop(false).await;
         self.reporter.abort();
-        open
     }
 }
 
--- a/crates/entry/tests/broker_support/fake.rs
+++ b/crates/entry/tests/broker_support/fake.rs
@@ -25,6 +25,8 @@
     /// Start-ups, without those of probes and cancels being told apart.
     pub started: u32,
     pub open: u32,
+    /// Largest number of open connections, those of probes included.
+    pub most_open: u32,
     /// New connections and probes get no answer.
     pub silent: bool,
     /// Connections that get no answer any more.
@@ -148,6 +150,7 @@
             let mut state = self.fake.lock();
             state.started += 1;
             state.open += 1;
+            state.most_open = state.most_open.max(state.open);
             self.counted = true;
             state.cancels.insert(self.number, Arc::clone(&cancel));
         }
