perf(entry): wake the keeper of the pool only if connections are wanted

Cause: each request that waited in the queue woke the task that keeps the pool warm, on a thread of the shared runtime, although nearly always no connection was to be opened.

Change: the queue computes under its lock whether the pool wants connections, and wakes the keeper only then.

--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -323,8 +323,12 @@
         }
         let (sender, answer) = oneshot::channel();
         state.waiters.insert(ticket, SlotWaiter { sender, event_loop: current_loop() });
+        // The keeper of the pool runs on another thread; it is woken only if it has something to do.
+        let refill = self.wanted(&state) > 0;
         drop(state);
-        self.refill.notify_one();
+        if refill {
+            self.refill.notify_one();
+        }
         Ok(SlotAnswer::Later(QueuedSlot { shared: Arc::clone(self), ticket, answer }))
     }
 
@@ -415,16 +419,21 @@
         self.dispatch(&mut state, now);
     }
 
-    /// Returns a count for each connection to set up now.
-    pub(super) fn begin_opening(&self) -> Vec<CountedConnection> {
-        let mut state = self.lock();
+    // Number of connections to set up now.
+    fn wanted(&self, state: &TargetState) -> u32 {
         let idle = u32::try_from(state.idle.len()).unwrap_or(u32::MAX);
         let running = u32::try_from(state.queue.running()).unwrap_or(u32::MAX);
         let open = self.pooled.open().saturating_sub(state.opening);
         let running = running.min(open.saturating_sub(idle));
         let kept = open.saturating_sub(idle + running);
         let opening = state.opening;
-        let count = state.rules.to_open(PoolCount { idle, running, kept, opening });
+        state.rules.to_open(PoolCount { idle, running, kept, opening })
+    }
+
+    /// Returns a count for each connection to set up now.
+    pub(super) fn begin_opening(&self) -> Vec<CountedConnection> {
+        let mut state = self.lock();
+        let count = self.wanted(&state);
         state.opening += count;
         let mut opened = Vec::new();
         for _ in 0..count {
