perf(entry): keep a channel to another entry per event loop

Cause: the channels to another entry were shared by all worker threads, while each connection is run by the thread that happened to open it. A forwarded grant of another thread paid a wake-up of that thread for each message in either direction.

Change: a channel serves only grants of the event loop that runs its connection. A worker thread has one channel per host; the shared runtime keeps up to four. An entry opens up to one connection per worker instead of four in total to each entry that it forwards to.

The test of the ended thread also passes without the change: the old code opened another channel. Single run of `--test entries` with one failure of `killed_entries_lose_nothing` under load ("relation orders does not exist" from a target), then three passes alone; cause not found.

--- a/crates/entry/src/broker/remote.rs
+++ b/crates/entry/src/broker/remote.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        connection::{EventLoop, current_loop},
         convert::{input_to_wire, output_from_wire, request_to_wire},
         target::failure,
     },
@@ -23,6 +24,7 @@
         time::Duration,
     },
     tokio::{
+        runtime::{Handle, RuntimeFlavor},
         sync::{mpsc, oneshot},
         time::timeout,
     },
@@ -61,12 +63,22 @@
 /// served by one task, which limits it to about ten thousand grants per second.
 const CROWDED: u32 = 16;
 
-/// Most channels to one host.
+/// Most channels to one host from the shared runtime.
 const CHANNELS: usize = 4;
 
+// The thread of a loop with one thread limits it, not the number of its connections.
+fn most_channels() -> usize {
+    match Handle::current().runtime_flavor() {
+        RuntimeFlavor::CurrentThread => 1,
+        _ => CHANNELS,
+    }
+}
+
 #[derive(Debug)]
 struct PeerChannel {
     client: BrokerClient<Channel>,
+    /// Event loop that runs the connection.
+    registered: EventLoop,
     heard: AtomicU64,
     grants: AtomicU32,
     stale: AtomicBool,
@@ -106,20 +118,29 @@
         Self { clock, channels: Arc::default() }
     }
 
-    /// Returns the kept channel with the fewest grants, or a fresh one if none is good.
+    /// Returns the kept channel of this event loop with the fewest grants, or a fresh one if none is
+    /// good.
+    ///
+    /// A channel of another loop costs a wake-up of its thread for each message, and ends with it.
     fn channel(&self, address: &SharedName) -> Option<Arc<PeerChannel>> {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = channels.entry(address.clone()).or_default();
         kept.retain(|channel| !channel.stale.load(Ordering::Relaxed));
+        let here = current_loop();
+        let mut own = 0;
         let mut best: Option<(&Arc<PeerChannel>, u32)> = None;
         for channel in kept.iter() {
+            if channel.registered != here {
+                continue;
+            }
+            own += 1;
             let grants = channel.grants.load(Ordering::Relaxed);
             if best.is_none_or(|(_, least)| grants < least) {
                 best = Some((channel, grants));
             }
         }
         if let Some((channel, grants)) = best
-            && (grants < CROWDED || kept.len() >= CHANNELS)
+            && (grants < CROWDED || own >= most_channels())
         {
             return Some(Arc::clone(channel));
         }
@@ -137,6 +158,7 @@
             .max_encoding_message_size(super::frame::MESSAGE_LIMIT + 1_024);
         let channel = Arc::new(PeerChannel {
             client,
+            registered: here,
             heard: AtomicU64::new(0),
             grants: AtomicU32::new(0),
             stale: AtomicBool::new(false),
--- a/crates/entry/tests/broker_threads.rs
+++ b/crates/entry/tests/broker_threads.rs
@@ -190,6 +190,30 @@
     });
 }
 
+// Guards against a grant that is forwarded on a connection whose thread has ended.
+#[test]
+fn a_forwarded_grant_does_not_depend_on_another_thread() {
+    run(async {
+        let fake = FakeTarget::start("primary").await;
+        let near = TestHost::start("near", table(Vec::new()));
+        let far = TestHost::start("far", table(Vec::new()));
+        let address = far.listen().await;
+        let routes = table(vec![target("p", &fake, "far", &address)]);
+        near.publish(routes.clone());
+        far.publish(routes);
+        far.opened("p").await;
+        let handle = near.handle.clone();
+        on_thread(async move {
+            let answer = once(&handle, write("p"), "INSERT").await;
+            assert!(matches!(answer, Outcome::Ready { .. }), "{answer:?}");
+        })
+        .await;
+        let answer = timeout(Duration::from_millis(500), once(&near.handle, write("p"), "INSERT"));
+        let answer = answer.await.expect("the answer waits for nothing");
+        assert!(matches!(answer, Outcome::Ready { .. }), "{answer:?}");
+    });
+}
+
 const SHEET: &str = "\
 database,application,kind,access,targets,max_age_ms,ack,repeatable,priority,deadline_ms,max_concurrent
 *,*,read,read,any,1000,primary,yes,4,30000,
