feat(control): change log levels at run time

Cause: a more detailed log needed a restart, which ends what one wants to look into. A mistyped level such as `infoo` in a settings file was taken for the name of a module and silenced the process.

Change: PUT /v1/log-level on control replicas and entries, for operators with all rights, changes the levels of the process until it ends. The change is event BS004 with the operator and the levels before and after; an equal request changes nothing. Levels are checked before the logger gets them, in requests and in settings files. The runtime crate gets the part that both HTTP interfaces share.

--- a/crates/control/src/admin/operations.rs
+++ b/crates/control/src/admin/operations.rs
@@ -6,13 +6,17 @@
             ChangedBody, DifferenceBody, DrainBody, ErrorBody, HistoryBody, MemberBody,
             MemberChangedBody, OutlookBody, StatusBody, node_error, payload_error, target_lines,
         },
-        routes::{Shared, operator, parse_query, read_body, reader, run},
+        routes::{Shared, operator, parse_query, reader, run},
     },
     crate::{command_log::CommandLog, members::MemberControl},
     banyansill_core::{
         cluster::{ClusterState, row_differences},
         sheet::{RuleSheet, SHEET_LIMIT},
     },
+    banyansill_runtime::{
+        http::{LevelsBody, OPERATION_LIMIT, read_body},
+        logs::{self, LogError},
+    },
     banyansill_wire::v1,
     ntex::{
         http::StatusCode,
@@ -22,9 +26,6 @@
     std::sync::Arc,
 };
 
-/// Largest body of an operation other than those on sheets, in bytes.
-const OPERATION_LIMIT: usize = 8 * 1024;
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct StatusQuery {
@@ -277,6 +278,36 @@
     Ok(HttpResponse::Ok().json(&body))
 }
 
+pub(super) async fn log_level<L, M>(
+    state: Shared<L, M>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse
+where
+    L: CommandLog<Machine = ClusterState>,
+    M: MemberControl,
+{
+    let access = match operator(&state.access, &request) {
+        Ok(access) => access,
+        Err(refusal) => return refusal,
+    };
+    if !access.scope.is_unlimited() {
+        let detail = "only an operator with all rights changes log levels";
+        return ErrorBody::new("forbidden", detail).reply(StatusCode::FORBIDDEN);
+    }
+    let body: LevelsBody = match parse_body(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    match logs::change_levels(&body.levels, &access.operator, &state.node.events) {
+        Ok(()) => HttpResponse::Ok().json(&body),
+        Err(error @ LogError::NotRunning) => {
+            ErrorBody::new("unsupported", error.to_string()).reply(StatusCode::NOT_IMPLEMENTED)
+        }
+        Err(error) => invalid(error.to_string()),
+    }
+}
+
 fn invalid(detail: String) -> HttpResponse {
     ErrorBody::new("invalid", detail).reply(StatusCode::BAD_REQUEST)
 }
--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -15,14 +15,16 @@
         status::visible_rows,
     },
     banyansill_core::{cluster::ClusterState, event::HybridStamp, sheet::SHEET_LIMIT},
-    banyansill_runtime::tokens::{self, AccessPolicy, OperatorAccess},
+    banyansill_runtime::{
+        http::read_body,
+        tokens::{self, AccessPolicy, OperatorAccess},
+    },
     banyansill_wire::v1,
     ntex::{
         SharedCfg,
-        http::{HttpService, StatusCode, error::PayloadError, header},
+        http::{HttpService, StatusCode, header},
         io::Io,
         service::ServiceFactory,
-        util::BytesMut,
         web::{self, App, HttpRequest, HttpResponse, types::Payload},
     },
     serde::{Deserialize, de::DeserializeOwned},
@@ -68,6 +70,7 @@
     get "/v1/promotion" => operations::promotion::<L, M>;
     post "/v1/control/members" => operations::add_member::<L, M>;
     delete "/v1/control/members" => operations::remove_member::<L, M>;
+    put "/v1/log-level" => operations::log_level::<L, M>;
     get "/v1/events" => events::<L, M>;
     get "/v1/sheet" => show_sheet::<L, M>;
     post "/v1/sheet" => apply_sheet::<L, M>;
@@ -278,21 +281,6 @@
     }
 }
 
-pub(super) async fn read_body(
-    mut payload: Payload,
-    limit: usize,
-) -> Result<BytesMut, PayloadError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk?;
-        if body.len() + chunk.len() > limit {
-            return Err(PayloadError::Overflow);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body)
-}
-
 pub(super) fn parse_query<T>(request: &HttpRequest) -> Result<T, HttpResponse>
 where
     T: DeserializeOwned,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -2,7 +2,10 @@
 
 use {
     banyansill_core::names::SharedName,
-    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    banyansill_runtime::{
+        logs::LogLevels,
+        settings::{SettingsReader, SettingsSource},
+    },
     std::{
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
         path::PathBuf,
@@ -71,7 +74,9 @@
             replicas: reader.objects("replicas"),
             join: reader.boolean("join", false),
             tokens: reader.optional_path("tokens"),
-            log: reader.optional_string("log").unwrap_or_else(|| "info".to_owned()),
+            log: reader
+                .optional_parsed::<LogLevels>("log")
+                .map_or_else(|| "info".into(), Into::into),
             log_folder: reader.optional_path("log_folder"),
             statsd: reader.optional_parsed("statsd"),
         };
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -67,6 +67,8 @@
     ProcessStopping = 2, "process stopping";
     /// A process stopped after finishing its work.
     ProcessStopped = 3, "process stopped";
+    /// An operator changed the log levels of a process.
+    LevelsChanged = 4, "log levels changed";
     /// A control replica became leader.
     LeaderElected = 101, "control leader elected";
     /// A control leader stepped down.
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -8,12 +8,14 @@
     banyansill_core::{event::HybridStamp, names::SharedName, route::RouteTable},
     banyansill_runtime::{
         events::EventSink,
+        http::{LevelsBody, OPERATION_LIMIT, read_body},
+        logs::{self, LogError},
         server::ServerHandle,
         tokens::{self, AccessPolicy, OperatorAccess},
     },
     ntex::{
         SharedCfg,
-        http::{HttpService, StatusCode, header},
+        http::{HttpService, StatusCode, error::PayloadError, header},
         io::Io,
         service::ServiceFactory,
         web::{self, App, HttpRequest, HttpResponse, types},
@@ -162,6 +164,7 @@
     get "/readyz" => readiness;
     get "/v1/events" => events;
     get "/v1/status" => status;
+    put "/v1/log-level" => log_level;
 }
 
 /// HTTP listener of an entry.
@@ -230,10 +233,12 @@
 fn reader(access: &AccessPolicy, request: &HttpRequest) -> Result<OperatorAccess, HttpResponse> {
     let header = request.headers().get(header::AUTHORIZATION);
     let operator = access.operator_or_open(header.and_then(|value| value.to_str().ok()));
-    operator.ok_or_else(|| {
-        let detail = "a valid bearer token is required".to_owned();
-        error(StatusCode::UNAUTHORIZED, "unauthorized", detail)
-    })
+    operator.ok_or_else(unauthorized)
+}
+
+fn unauthorized() -> HttpResponse {
+    let detail = "a valid bearer token is required".to_owned();
+    error(StatusCode::UNAUTHORIZED, "unauthorized", detail)
 }
 
 async fn events(sources: types::State<AdminSources>, request: HttpRequest) -> HttpResponse {
@@ -266,3 +271,37 @@
     status.databases.retain(|name, _| access.scope.covers_database(name));
     HttpResponse::Ok().json(&status)
 }
+
+async fn log_level(
+    sources: types::State<AdminSources>,
+    request: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    let header = request.headers().get(header::AUTHORIZATION).and_then(|text| text.to_str().ok());
+    let Some(access) = sources.access.operator(header) else {
+        return unauthorized();
+    };
+    if !access.scope.is_unlimited() {
+        let detail = "only an operator with all rights changes log levels".to_owned();
+        return error(StatusCode::FORBIDDEN, "forbidden", detail);
+    }
+    let body = match read_body(payload, OPERATION_LIMIT).await {
+        Ok(body) => body,
+        Err(PayloadError::Overflow) => {
+            let detail = "the body is larger than accepted".to_owned();
+            return error(StatusCode::PAYLOAD_TOO_LARGE, "too-large", detail);
+        }
+        Err(fault) => return error(StatusCode::BAD_REQUEST, "invalid", fault.to_string()),
+    };
+    let body: LevelsBody = match serde_json::from_slice(&body) {
+        Ok(body) => body,
+        Err(fault) => return error(StatusCode::BAD_REQUEST, "invalid", fault.to_string()),
+    };
+    match logs::change_levels(&body.levels, &access.operator, &sources.events) {
+        Ok(()) => HttpResponse::Ok().json(&body),
+        Err(fault @ LogError::NotRunning) => {
+            error(StatusCode::NOT_IMPLEMENTED, "unsupported", fault.to_string())
+        }
+        Err(fault) => error(StatusCode::BAD_REQUEST, "invalid", fault.to_string()),
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,7 +3,10 @@
 use {
     crate::session::{CallerAuthentication, CallerSettings},
     banyansill_core::names::SharedName,
-    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    banyansill_runtime::{
+        logs::LogLevels,
+        settings::{SettingsReader, SettingsSource},
+    },
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -78,7 +81,9 @@
             target_user: reader.string("target_user"),
             drain_bound: bound(reader, "drain_ms", 30_000),
             statsd: reader.optional_parsed("statsd"),
-            log_levels: reader.optional_string("log_levels").unwrap_or_else(|| "info".to_owned()),
+            log_levels: reader
+                .optional_parsed::<LogLevels>("log_levels")
+                .map_or_else(|| "info".into(), Into::into),
             log_directory: reader.optional_path("log_directory"),
         }
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod events;
+pub mod http;
 pub mod logs;
 pub mod metrics;
 pub mod server;
