feat(entry): TLS for callers

Cause: callers' passwords, requests and answers crossed the network unencrypted; a request for TLS was answered with N.

Change: `callers.tls` names the PEM files of a certificate and a key. The entry answers SSLRequest with S and carries out the handshake with rustls and the ring provider through ntex-tls; bytes that arrived between the request and the handshake are refused (`protocol-violation`). `required` refuses callers without TLS with the new failure kind `tls-required`, SQLSTATE 28000. runtime::tls loads the files, checks them every 5 s and serves a changed pair to new connections (BS005); an invalid pair is reported once (BS006) and the pair in force stays. A caller's socket is an enum of the plain and the encrypted one, so that no dynamic call enters the request path. Test certificates are made by rcgen.

Not part of this commit: mutual TLS between processes, TLS on the HTTP administration listeners. Not measured: the cost of the enum for plain callers, and throughput over TLS.

Conclusion: tests cover callers with and without TLS, passwords and large answers over TLS, required TLS, another authority, an expired certificate, injected bytes, a stalled handshake, and reload with good and faulty files.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -69,6 +69,10 @@
     ProcessStopped = 3, "process stopped";
     /// An operator changed the log levels of a process.
     LevelsChanged = 4, "log levels changed";
+    /// A changed certificate serves new connections.
+    CertificateReloaded = 5, "certificate reloaded";
+    /// Changed key or certificate files are not valid; the pair in force stays.
+    CertificateInvalid = 6, "certificate invalid";
     /// A control replica became leader.
     LeaderElected = 101, "control leader elected";
     /// A control leader stepped down.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -50,6 +50,8 @@
     TooManyCallers,
     /// Name or password are wrong.
     BadCredentials,
+    /// Callers must use TLS.
+    TlsRequired,
     /// The caller's message breaks the protocol.
     ProtocolViolation,
     /// The request uses a protocol feature that is not supported.
@@ -92,7 +94,7 @@
 
 impl FailureKind {
     /// Every kind, in the order of the table in `docs/errors.md`.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::NoLease,
         Self::Draining,
         Self::NoSheet,
@@ -110,6 +112,7 @@
         Self::TargetRefused,
         Self::TooManyCallers,
         Self::BadCredentials,
+        Self::TlsRequired,
         Self::ProtocolViolation,
         Self::Unsupported,
         Self::ConnectionLost,
@@ -168,6 +171,7 @@
                 answer(NotRun, "53300", "too many connections at this entry; not run", 1_000)
             }
             Self::BadCredentials => answer(NotRun, "28P01", "authentication failed", 0),
+            Self::TlsRequired => answer(NotRun, "28000", "TLS is required; not run", 0),
             Self::ProtocolViolation => answer(NotRun, "08P01", "protocol violation; not run", 0),
             Self::Unsupported => answer(NotRun, "0A000", "not supported; not run", 0),
             Self::ConnectionLost => answer(
@@ -227,6 +231,7 @@
             Self::TargetRefused => "target-refused",
             Self::TooManyCallers => "too-many-callers",
             Self::BadCredentials => "bad-credentials",
+            Self::TlsRequired => "tls-required",
             Self::ProtocolViolation => "protocol-violation",
             Self::Unsupported => "unsupported",
             Self::ConnectionLost => "connection-lost",
--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -9,6 +9,7 @@
         prepared::{BatchError, CallerBatch, StatementStore},
         registry::CallerTicket,
         request::{CallerRequest, RequestSummary},
+        secure::CallerIo,
         startup::{self, CallerIdentity},
     },
     crate::link::{GrantRouter, LinkOutput, TransactionStatus},
@@ -42,7 +43,7 @@
 /// The caller's socket.
 #[derive(Debug)]
 pub(super) struct CallerStream {
-    pub(super) io: Io,
+    pub(super) io: CallerIo,
     pub(super) codec: FrameCodec,
     stall: Duration,
 }
@@ -144,9 +145,9 @@
     }
     let codec = FrameCodec::new(shared.settings.startup_limit);
     let stall = shared.settings.stall_timeout;
-    let stream = CallerStream { io, codec, stall };
+    let mut stream = CallerStream { io: CallerIo::Plain(io), codec, stall };
     let draining = shared.registry.draining();
-    let started = startup::start(&stream, &shared, &mut ticket);
+    let started = startup::start(&mut stream, &shared, &mut ticket);
     let started = match timeout(shared.settings.startup_timeout, started).await {
         Ok(started) => started,
         Err(_) => Err(SessionEnd::Stalled),
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -11,6 +11,7 @@
 mod registry;
 mod replay;
 mod request;
+mod secure;
 mod startup;
 mod stream;
 
@@ -23,7 +24,11 @@
 use {
     crate::{lease::NodeLease, link::GrantRouter},
     banyansill_core::{names::SharedName, route::RouteTable, statement::ProfileCache},
-    banyansill_runtime::{events::EventSink, server::ServerHandle},
+    banyansill_runtime::{
+        events::EventSink,
+        server::ServerHandle,
+        tls::{self, TlsFiles, TlsListener},
+    },
     cadence::{Counted, Gauged, StatsdClient},
     ntex::{fn_service, io::Io},
     socket2::{Domain, Protocol, Socket, TcpKeepalive, Type},
@@ -98,6 +103,10 @@
     pub transaction_timeout: Duration,
     /// How callers prove who they are.
     pub authentication: CallerAuthentication,
+    /// Certificate and key for callers that ask for TLS.
+    pub tls: Option<TlsFiles>,
+    /// Whether callers without TLS are refused.
+    pub tls_required: bool,
 }
 
 impl CallerSettings {
@@ -116,6 +125,8 @@
             stall_timeout: Duration::from_secs(30),
             transaction_timeout: Duration::from_secs(60),
             authentication: CallerAuthentication::Trust,
+            tls: None,
+            tls_required: false,
         }
     }
 }
@@ -160,6 +171,7 @@
     registry: Arc<CallerRegistry>,
     counters: Arc<SessionCounters>,
     passwords: Option<auth::PasswordTable>,
+    tls: Option<TlsListener>,
 }
 
 /// What the sessions of one worker thread share.
@@ -199,7 +211,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the password file is not valid, the address cannot be bound or the server
+    /// Returns an error if the password file or the certificate is not valid, the address cannot be bound or the server
     /// thread cannot be started.
     pub async fn bind<R>(
         settings: CallerSettings,
@@ -216,6 +228,10 @@
             CallerAuthentication::Trust => None,
             CallerAuthentication::Scram(path) => Some(auth::PasswordTable::load(path)?),
         };
+        let tls = settings.tls.clone().map(|files| {
+            TlsListener::spawn(files, events.clone(), tls::CHECK_INTERVAL).map_err(io::Error::other)
+        });
+        let tls = tls.transpose()?;
         let listener = listen(settings.listen)?;
         let address = listener.local_addr()?;
         let workers = settings.workers;
@@ -229,6 +245,7 @@
             registry: registry.clone(),
             counters: counters.clone(),
             passwords,
+            tls: tls.clone(),
         });
         let server = ServerHandle::spawn("callers", workers, move |builder| {
             builder.listen("callers", listener, async move |_| {
@@ -244,7 +261,7 @@
         .await?;
         let reports = tokio::spawn(report(registry.clone(), counters.clone(), metrics));
         let reporter = reports.abort_handle();
-        Ok(CallerHandle { address, server, registry, counters, events, reporter })
+        Ok(CallerHandle { address, server, registry, counters, events, reporter, tls })
     }
 }
 
@@ -258,6 +275,7 @@
     counters: Arc<SessionCounters>,
     events: EventSink,
     reporter: tokio::task::AbortHandle,
+    tls: Option<TlsListener>,
 }
 
 impl CallerHandle {
@@ -295,6 +313,9 @@
         }
         self.server.stop(false).await;
         self.reporter.abort();
+        if let Some(tls) = &self.tls {
+            tls.stop();
+        }
         open
     }
 }
--- /dev/null
+++ b/crates/entry/src/session/secure.rs
@@ -0,0 +1,89 @@
+//! A caller's socket with or without TLS.
+
+use {
+    super::frame::{CallerFrame, FrameCodec, FrameError},
+    ntex::{
+        io::{Base, Io, IoRef, Layer, OnDisconnect},
+        time::Millis,
+        util::Either,
+    },
+    ntex_tls::rustls::TlsServerFilter,
+    rustls::ServerConfig,
+    std::{io, sync::Arc, time::Duration},
+};
+
+/// A caller's socket; an enum, since a boxed filter would cost a dynamic call for each read and write.
+#[derive(Debug)]
+pub(super) enum CallerIo {
+    /// Not encrypted.
+    Plain(Io),
+    /// Encrypted.
+    Secure(Io<Layer<TlsServerFilter, Base>>),
+}
+
+impl CallerIo {
+    pub(super) async fn recv(
+        &self,
+        codec: &FrameCodec,
+    ) -> Result<Option<CallerFrame>, Either<FrameError, io::Error>> {
+        match self {
+            Self::Plain(io) => io.recv(codec).await,
+            Self::Secure(io) => io.recv(codec).await,
+        }
+    }
+
+    pub(super) async fn flush(&self, full: bool) -> io::Result<()> {
+        match self {
+            Self::Plain(io) => io.flush(full).await,
+            Self::Secure(io) => io.flush(full).await,
+        }
+    }
+
+    pub(super) async fn shutdown(&self) -> io::Result<()> {
+        match self {
+            Self::Plain(io) => io.shutdown().await,
+            Self::Secure(io) => io.shutdown().await,
+        }
+    }
+
+    pub(super) fn encode_slice(&self, bytes: &[u8]) -> io::Result<()> {
+        self.io().encode_slice(bytes)
+    }
+
+    pub(super) fn terminate(&self) {
+        self.io().terminate();
+    }
+
+    pub(super) fn on_disconnect(&self) -> OnDisconnect {
+        self.io().on_disconnect()
+    }
+
+    pub(super) const fn is_secure(&self) -> bool {
+        matches!(self, Self::Secure(_))
+    }
+
+    /// Returns whether the caller has sent bytes that are not yet read as messages.
+    pub(super) fn has_unread(&self) -> bool {
+        self.io().with_read_buf(|buffer| !buffer.is_empty())
+    }
+
+    /// Carries out the TLS handshake; the socket is closed if it fails.
+    pub(super) async fn secure(
+        &mut self,
+        config: Arc<ServerConfig>,
+        limit: Duration,
+    ) -> io::Result<()> {
+        let Self::Plain(io) = self else { return Err(io::ErrorKind::AlreadyExists.into()) };
+        let limit = Millis(u32::try_from(limit.as_millis()).unwrap_or(u32::MAX));
+        let io = TlsServerFilter::create(io.take(), config, limit).await?;
+        *self = Self::Secure(io);
+        Ok(())
+    }
+
+    fn io(&self) -> &IoRef {
+        match self {
+            Self::Plain(io) => io,
+            Self::Secure(io) => io,
+        }
+    }
+}
--- a/crates/entry/src/session/startup.rs
+++ b/crates/entry/src/session/startup.rs
@@ -10,7 +10,9 @@
     },
     crate::link::GrantRouter,
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
+    banyansill_runtime::tls::TlsListener,
     bytes::{BufMut, BytesMut},
+    std::time::Duration,
 };
 
 /// Protocol version 3.0.
@@ -151,7 +153,7 @@
 ///
 /// Returns `None` if the connection only carried a cancel request.
 pub(super) async fn start<R>(
-    stream: &CallerStream,
+    stream: &mut CallerStream,
     shared: &EntryShared<R>,
     ticket: &mut CallerTicket,
 ) -> Result<Option<CallerIdentity>, SessionEnd>
@@ -164,8 +166,20 @@
         match parse_startup(frame.body()) {
             Some(StartupPacket::Encryption) if encryption < ENCRYPTION_REQUESTS => {
                 encryption += 1;
-                stream.put(b"N")?;
-                stream.relieve().await?;
+                let wants_tls =
+                    split_number(frame.body()).is_some_and(|(code, _)| code == TLS_CODE);
+                match &shared.tls {
+                    Some(tls) if wants_tls && !stream.io.is_secure() => {
+                        secure(stream, tls, shared.settings.startup_timeout).await?;
+                    }
+                    _ => {
+                        stream.put(b"N")?;
+                        stream.relieve().await?;
+                    }
+                }
+            }
+            _ if shared.settings.tls_required && !stream.io.is_secure() => {
+                return Err(SessionEnd::Failure(FailureKind::TlsRequired, ""));
             }
             Some(StartupPacket::Cancel(key)) => {
                 shared.registry.cancel(key);
@@ -221,6 +235,27 @@
     Ok(Some(identity))
 }
 
+/// Answers a request for TLS and carries out the handshake.
+///
+/// Bytes that came before the answer were not encrypted; whoever injects them must not have them read as
+/// the caller's first messages.
+async fn secure(
+    stream: &mut CallerStream,
+    tls: &TlsListener,
+    limit: Duration,
+) -> Result<(), SessionEnd> {
+    if stream.io.has_unread() {
+        let detail = "data between the request for TLS and the handshake";
+        return Err(SessionEnd::Failure(FailureKind::ProtocolViolation, detail));
+    }
+    stream.put(b"S")?;
+    if let Err(error) = stream.io.secure(tls.config(), limit).await {
+        log::debug!("TLS handshake: {error}");
+        return Err(SessionEnd::Closed);
+    }
+    Ok(())
+}
+
 /// Tells a caller of a later minor version that 3.0 is spoken and which options are unknown.
 fn negotiate(buffer: &mut BytesMut, parameters: &[(String, String)]) {
     let mut unknown: Vec<&str> = Vec::new();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
     banyansill_runtime::{
         logs::LogLevels,
         settings::{SettingsReader, SettingsSource},
+        tls::TlsFiles,
     },
     std::{
         net::{Ipv4Addr, SocketAddr},
@@ -97,6 +98,7 @@
             None => CallerAuthentication::Trust,
             Some(path) => CallerAuthentication::Scram(path),
         };
+        let tls: CallerTls = reader.optional_nested("tls").unwrap_or_default();
         Self {
             workers: count(reader, "workers", defaults.workers, 1, 256),
             max_callers: count(reader, "max_callers", defaults.max_callers, 1, 1_000_000),
@@ -110,11 +112,26 @@
                 millis(defaults.transaction_timeout),
             ),
             authentication,
+            tls: tls.files,
+            tls_required: tls.required,
             ..defaults
         }
     }
 }
 
+/// TLS for callers.
+#[derive(Default)]
+struct CallerTls {
+    files: Option<TlsFiles>,
+    required: bool,
+}
+
+impl SettingsSource for CallerTls {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        Self { files: Some(TlsFiles::read(reader)), required: reader.boolean("required", false) }
+    }
+}
+
 fn address(reader: &mut SettingsReader<'_>, field: &str) -> SocketAddr {
     reader.parsed(field).unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod metrics;
 pub mod server;
 pub mod settings;
+pub mod tls;
 pub mod tokens;
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -221,6 +221,15 @@
         item
     }
 
+    /// Returns a nested settings object, or `None` if the field is absent.
+    pub fn optional_nested<T>(&mut self, field: &str) -> Option<T>
+    where
+        T: SettingsSource,
+    {
+        self.find(field)?;
+        Some(self.nested(field))
+    }
+
     /// Returns a list of settings objects; an absent field is an empty list.
     pub fn objects<T>(&mut self, field: &str) -> Vec<T>
     where
