feat(control): arguments and settings reports of every binary

The new test found that a settings file that is empty or cannot be read was reported without its fault, and that the fault of a list's element pointed to the beginning of the file.

The report of a file without text names the fault in its first line, and `control[1]` points to the element.

--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -42,7 +42,15 @@
 
 impl fmt::Display for SettingsReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} fault(s) in the settings", self.faults.len())
+        write!(formatter, "{} fault(s) in the settings", self.faults.len())?;
+        if !self.source.inner().is_empty() {
+            return Ok(());
+        }
+        // Labels need text to point at; a file that is empty or cannot be read has none.
+        for fault in &self.faults {
+            write!(formatter, "; {}: {}", self.source.name(), fault.message)?;
+        }
+        Ok(())
     }
 }
 
@@ -255,11 +263,12 @@
         items
     }
 
-    /// Records a fault of a field.
+    /// Records a fault of a field, or of an element of a list such as `control[1]`.
     pub fn fault(&mut self, field: &str, message: &str) {
         // A missing field is reported at its object's opening brace.
         let (start, _) = self.range;
-        let range = self.find(field).map_or((start, start + 1), |value| span(value.range()));
+        let value = self.element(field).or_else(|| self.find(field));
+        let range = value.map_or((start, start + 1), |value| span(value.range()));
         let field = self.join(field);
         self.faults.push(SettingsFault { field, message: message.to_owned(), range });
     }
@@ -283,6 +292,12 @@
         Some(&property.value)
     }
 
+    fn element(&mut self, place: &str) -> Option<&'a Value<'a>> {
+        let (field, index) = place.strip_suffix(']')?.rsplit_once('[')?;
+        let Some(Value::Array(array)) = self.find(field) else { return None };
+        array.elements.get(index.parse::<usize>().ok()?)
+    }
+
     fn join(&self, field: &str) -> String {
         if self.path.is_empty() { field.to_owned() } else { format!("{}.{field}", self.path) }
     }
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -102,3 +102,25 @@
     assert!(shown.contains("host: expected a string"), "{shown}");
     assert!(shown.contains("listen: is missing"), "{shown}");
 }
+
+/// Guards against a fault of a list's element that is reported at the beginning of the file.
+#[test]
+fn faults_of_elements_have_their_place() {
+    #[derive(Debug)]
+    struct Unique;
+    impl SettingsSource for Unique {
+        fn read(reader: &mut SettingsReader<'_>) -> Self {
+            let names: Vec<String> = reader.list("names");
+            for (index, name) in names.iter().enumerate() {
+                if names[..index].contains(name) {
+                    reader.fault(&format!("names[{index}]"), "is given twice");
+                }
+            }
+            Self
+        }
+    }
+    let text = r#"{"names": ["a", "b", "a"]}"#;
+    let report = parse::<Unique>("file", text).unwrap_err();
+    let (start, end) = report.faults[0].range;
+    assert_eq!((&text[start..end], start), ("\"a\"", text.rfind("\"a\"").unwrap()));
+}
--- a/crates/standin/src/bin/banyansill-standin.rs
+++ b/crates/standin/src/bin/banyansill-standin.rs
@@ -19,10 +19,10 @@
         /// Stand-in for one server of a database group.
         cmd banyansill-standin {
             /// Settings file: JSON with comments.
-            optional --config file: PathBuf
-            /// Checks the settings and exits.
+            optional -c, --config file: PathBuf
+            /// Checks the settings, reports every fault and exits.
             optional --check
-            /// Prints the version and exits.
+            /// Prints the version.
             optional --version
         }
     }
@@ -35,7 +35,7 @@
         return Ok(());
     }
     let Some(path) = flags.config else {
-        eprintln!("--config FILE is required");
+        eprintln!("banyansill-standin: --config FILE is required; see --help");
         exit(EXIT_USAGE);
     };
     let settings = match settings::load::<StandinSettings>(&path) {
@@ -46,6 +46,7 @@
         }
     };
     if flags.check {
+        println!("{}: no faults", path.display());
         return Ok(());
     }
     let _logs = LogHandle::open(&settings.log, None)?;
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -15,7 +15,10 @@
 
 use {
     banyansill_core::names::SharedName,
-    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    banyansill_runtime::{
+        logs::LogLevels,
+        settings::{SettingsReader, SettingsSource},
+    },
     std::net::{Ipv4Addr, SocketAddr},
 };
 
@@ -160,8 +163,8 @@
             reader.number("log_entries", settings.log_entries, 1, LOG_ENTRIES_LIMIT);
         settings.leave_ms = reader.number("leave_ms", settings.leave_ms, 0, DELAY_LIMIT_MS);
         settings.control = reader.list("control");
-        if let Some(log) = reader.optional_string("log") {
-            settings.log = log;
+        if let Some(log) = reader.optional_parsed::<LogLevels>("log") {
+            settings.log = log.into();
         }
         settings
     }
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -123,7 +123,11 @@
 }
 
 /// Returns the path of a binary that the same build made.
-fn binary_path(binary: &str) -> io::Result<PathBuf> {
+///
+/// # Errors
+///
+/// Returns an error if the binary is not built.
+pub fn binary_path(binary: &str) -> io::Result<PathBuf> {
     let test = std::env::current_exe()?;
     for folder in test.ancestors().skip(1).take(2) {
         let path = folder.join(binary);
