--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,7 +3,11 @@
 use {
     crate::session::{CallerAuthentication, CallerSettings},
     banyansill_core::names::SharedName,
-    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    banyansill_runtime::{
+        logs::LogLevels,
+        settings::{SettingsReader, SettingsSource},
+        tls::TlsFiles,
+    },
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -78,7 +82,9 @@
             target_user: reader.string("target_user"),
             drain_bound: bound(reader, "drain_ms", 30_000),
             statsd: reader.optional_parsed("statsd"),
-            log_levels: reader.optional_string("log_levels").unwrap_or_else(|| "info".to_owned()),
+            log_levels: reader
+                .optional_parsed::<LogLevels>("log_levels")
+                .map_or_else(|| "info".into(), Into::into),
             log_directory: reader.optional_path("log_directory"),
         }
     }
@@ -92,6 +98,7 @@
             None => CallerAuthentication::Trust,
             Some(path) => CallerAuthentication::Scram(path),
         };
+        let tls: CallerTls = reader.optional_nested("tls").unwrap_or_default();
         Self {
             workers: count(reader, "workers", defaults.workers, 1, 256),
             max_callers: count(reader, "max_callers", defaults.max_callers, 1, 1_000_000),
@@ -105,11 +112,26 @@
                 millis(defaults.transaction_timeout),
             ),
             authentication,
+            tls: tls.files,
+            tls_required: tls.required,
             ..defaults
         }
     }
 }
 
+/// TLS for callers.
+#[derive(Default)]
+struct CallerTls {
+    files: Option<TlsFiles>,
+    required: bool,
+}
+
+impl SettingsSource for CallerTls {
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        Self { files: Some(TlsFiles::read(reader)), required: reader.boolean("required", false) }
+    }
+}
+
 fn address(reader: &mut SettingsReader<'_>, field: &str) -> SocketAddr {
     reader.parsed(field).unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
 }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -15,7 +15,10 @@
 
 use {
     banyansill_core::names::SharedName,
-    banyansill_runtime::settings::{SettingsReader, SettingsSource},
+    banyansill_runtime::{
+        logs::LogLevels,
+        settings::{SettingsReader, SettingsSource},
+    },
     std::net::{Ipv4Addr, SocketAddr},
 };
 
@@ -166,8 +169,8 @@
         settings.leave_limit_ms =
             reader.number("leave_limit_ms", settings.leave_limit_ms, 0, DELAY_LIMIT_MS);
         settings.control = reader.list("control");
-        if let Some(log) = reader.optional_string("log") {
-            settings.log = log;
+        if let Some(log) = reader.optional_parsed::<LogLevels>("log") {
+            settings.log = log.into();
         }
         settings
     }
