feat(load): take any idle connection per arrival and count every unserved request

Cause: each arrival was bound in advance to one of a few sessions, so requests queued in the load tool, and a caller that the naive proxy could not connect ended the run. Change: an arrival takes any idle connection of its kind and opens another when none is idle (limit 4,000 per kind). No answer by the deadline, no connection and refusals count as not served.

--- a/crates/load/src/bin/banyansill-load.rs
+++ b/crates/load/src/bin/banyansill-load.rs
@@ -2,13 +2,15 @@
 
 use {
     banyansill_load::{
-        driver::{self, LoadPhase, LoadPlan},
+        driver,
         mix::RequestMix,
         naive::NaiveProxy,
-        overhead, report,
+        overhead,
+        report::{self, SlotCapacity},
+        sweep::RunOptions,
     },
     miette::{IntoDiagnostic, Result, miette},
-    std::{net::SocketAddr, path::PathBuf, time::Duration},
+    std::{net::SocketAddr, time::Duration},
 };
 
 mod flags {
@@ -55,10 +57,18 @@
                 optional --crest crest: f64
                 /// Seconds per phase.
                 optional --seconds seconds: u64
-                /// Sessions per kind.
-                optional --sessions sessions: usize
-                /// Seed of arrivals and keys.
+                /// Greatest number of connections per kind.
+                optional --connections connections: usize
+                /// First seed of arrivals and keys.
                 optional --seed seed: u64
+                /// Number of seeds; the table shows medians and ranges.
+                optional --seeds seeds: u64
+                /// Servers of the group, for the bound of what can be served.
+                optional --servers servers: f64
+                /// Slots per server, for the bound of what can be served.
+                optional --slots slots: f64
+                /// Microseconds that a short statement takes, for the bound of what can be served.
+                optional --statement-us statement_us: f64
                 /// Folder for CSV, JSON and SVG.
                 optional --output output: PathBuf
             }
@@ -131,62 +141,37 @@
 async fn run_mix(arguments: flags::Run) -> Result<()> {
     let mix = RequestMix::named(&arguments.mix)
         .ok_or_else(|| miette!("unknown mix {:?}: hamper-board or magnolia", arguments.mix))?;
-    let first = arguments.entry.first().ok_or_else(|| miette!("--entry is missing"))?;
+    let first = arguments.entry.first().or(arguments.naive.as_ref());
+    let first = first.ok_or_else(|| miette!("--entry or --naive is missing"))?;
     let setup = arguments.setup.as_ref().unwrap_or(first);
-    let rate = arguments.rate.unwrap_or(500.0);
-    let reports = arguments.reports.unwrap_or(1.0);
-    let span = Duration::from_secs(arguments.seconds.unwrap_or(10));
-    let phase = |name, rate, reports| LoadPhase { name, rate, reports, span };
-    let plan = LoadPlan {
-        mix: mix.clone(),
-        phases: vec![
-            phase("1-base", rate, 0.0),
-            phase("2-reports", rate, reports),
-            phase("3-crest", rate * arguments.crest.unwrap_or(3.0), reports),
-        ],
-        sessions: arguments.sessions.unwrap_or(100),
+    let options = RunOptions {
+        rate: arguments.rate.unwrap_or(500.0),
+        reports: arguments.reports.unwrap_or(1.0),
+        crest: arguments.crest.unwrap_or(3.0),
+        span: Duration::from_secs(arguments.seconds.unwrap_or(10)),
+        connections: arguments.connections.unwrap_or(driver::CONNECTION_LIMIT),
         seed: arguments.seed.unwrap_or(1),
+        seeds: arguments.seeds.unwrap_or(1),
     };
     driver::prepare(setup, &mix).await.into_diagnostic()?;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let ours = driver::run(&arguments.entry, &plan).await.into_diagnostic()?;
-    let mut sides = vec![("banyansill", ours)];
-    if let Some(naive) = arguments.naive {
-        let urls = [naive];
-        sides.push(("naive", driver::run(&urls, &plan).await.into_diagnostic()?));
+    let mut sides = Vec::new();
+    if !arguments.entry.is_empty() {
+        sides.push(("banyansill", arguments.entry));
     }
-    print_report(&mix, &plan, &sides, arguments.output)
-}
-
-fn print_report(
-    mix: &RequestMix,
-    plan: &LoadPlan,
-    sides: &[(&'static str, driver::LoadFigures)],
-    output: Option<PathBuf>,
-) -> Result<()> {
-    let mut rows = Vec::new();
-    for (side, figures) in sides {
-        rows.extend(report::rows(side, figures));
-    }
-    println!("mix {}, seed {}", mix.name, plan.seed);
-    print!("{}", report::table(&rows));
-    for phase in &plan.phases {
-        for (side, figures) in sides {
-            let (replica, service) = report::shares(figures, mix, phase.name);
-            println!(
-                "{:<14} {side:<11} reads from replicas {:.1}%  service {:.1}%",
-                phase.name,
-                replica * 100.0,
-                service * 100.0
-            );
-        }
+    if let Some(naive) = arguments.naive {
+        sides.push(("naive", vec![naive]));
     }
-    if let Some(folder) = output {
-        let mut references = Vec::new();
-        for (side, figures) in sides {
-            references.push((*side, figures));
-        }
-        report::write(&folder, &rows, &references).map_err(|error| miette!("{error}"))?;
+    let runs = options.run(&mix, &sides).await.into_diagnostic()?;
+    let capacity = SlotCapacity {
+        servers: arguments.servers.unwrap_or(3.0),
+        slots: arguments.slots.unwrap_or(if mix.name == "magnolia" { 3.0 } else { 5.0 }),
+        statement: arguments.statement_us.unwrap_or(2_000.0) / 1_000_000.0,
+        report: 2.0,
+    };
+    print!("{}", options.report(&mix, &runs, &capacity));
+    if let Some(folder) = arguments.output {
+        report::write(&folder, &runs).map_err(|error| miette!("{error}"))?;
     }
     Ok(())
 }
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -1,4 +1,7 @@
 //! Open-loop driver: requests arrive at their own times, whether or not earlier ones were answered.
+//!
+//! An arrival takes any idle connection of its kind and opens another when none is idle, so no
+//! request waits in the load tool behind another one.
 
 use {
     crate::{
@@ -9,16 +12,31 @@
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         collections::BTreeMap,
-        sync::Arc,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
-    tokio::{sync::mpsc, task::JoinSet, time::sleep_until},
+    tokio::{
+        task::JoinSet,
+        time::{sleep_until, timeout_at},
+    },
     tokio_postgres::{Client, Error, Row, Statement},
 };
 
 /// Rows of the table that short reads use.
 pub const TABLE_ROWS: i64 = 1_000;
 
+/// Connections per kind above which an arrival counts as not connected.
+///
+/// 3,000 requests/s that are answered in 10 ms need 30; the limit only bounds the load tool's own
+/// memory when a side stops answering.
+pub const CONNECTION_LIMIT: usize = 4_000;
+
+/// Longest wait after the last arrival; the deadlines of all short kinds have passed by then.
+const DRAIN_LIMIT: Duration = Duration::from_secs(8);
+
 /// Part of a run with one arrival rate.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadPhase {
@@ -39,8 +57,8 @@
     pub mix: RequestMix,
     /// Phases in their order.
     pub phases: Vec<LoadPhase>,
-    /// Sessions per kind.
-    pub sessions: usize,
+    /// Greatest number of connections per kind.
+    pub connections: usize,
     /// Seed of arrivals and keys.
     pub seed: u64,
 }
@@ -52,18 +70,25 @@
     pub offered: u64,
     /// Whole correct answers within the deadline.
     pub in_time: u64,
-    /// Whole correct answers after the deadline.
+    /// Requests without an answer at their deadline.
     pub late: u64,
     /// Answers that say not run.
     pub refused: u64,
+    /// Requests that got no connection.
+    pub unconnected: u64,
     /// Other errors.
     pub failed: u64,
     /// Answers that were not the answer to the request.
     pub wrong: u64,
-    /// Answers from a replica.
+    /// Requests whose deadline had not passed when the run ended.
+    pub unfinished: u64,
+    /// Answers in time from a replica.
     pub from_replica: u64,
-    /// Latency of whole correct answers in microseconds, from the intended arrival.
+    /// Latency of whole correct answers in microseconds, from the intended arrival; late ones
+    /// that came before the end of the run are included.
     pub latency: Histogram<u64>,
+    /// Time to refusals in microseconds, from the intended arrival.
+    pub refusal: Histogram<u64>,
 }
 
 impl Default for KindFigures {
@@ -73,10 +98,13 @@
             in_time: 0,
             late: 0,
             refused: 0,
+            unconnected: 0,
             failed: 0,
             wrong: 0,
+            unfinished: 0,
             from_replica: 0,
             latency: new_histogram(),
+            refusal: new_histogram(),
         }
     }
 }
@@ -84,13 +112,6 @@
 /// Figures by phase and kind.
 pub type LoadFigures = BTreeMap<(&'static str, &'static str), KindFigures>;
 
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    phase: &'static str,
-    at: Instant,
-    key: i64,
-}
-
 /// Creates and fills the tables of a mix.
 ///
 /// # Errors
@@ -117,46 +138,173 @@
     Ok(())
 }
 
-/// Runs the phases against the entries or proxy at `urls`; sessions are spread over them.
+/// Runs the phases against the entries or proxy at `urls`; connections are spread over them.
 ///
 /// # Errors
 ///
-/// Returns an error if the sessions cannot be opened.
+/// Returns an error if no connection can be opened at the start.
 pub async fn run(urls: &[String], plan: &LoadPlan) -> Result<LoadFigures, Error> {
-    let mut tasks = JoinSet::new();
-    let mut queues = Vec::new();
+    let urls: Arc<[String]> = urls.into();
+    connect(&urls[0], "load").await?;
     let mut kinds = plan.mix.entries.clone();
     kinds.push(plan.mix.report.clone());
+    let mut pools = Vec::new();
     for entry in kinds {
-        let entry = Arc::new(entry);
-        let mut senders = Vec::new();
-        for number in 0..plan.sessions {
-            let url = &urls[number % urls.len()];
-            let client = connect(url, entry.application).await?;
-            let statement = client.prepare(entry.statement).await?;
-            let (sender, arrivals) = mpsc::unbounded_channel();
-            senders.push(sender);
-            tasks.spawn(session(client, statement, entry.clone(), arrivals));
-        }
-        queues.push((entry, senders));
+        pools.push(Arc::new(KindPool {
+            entry,
+            urls: Arc::clone(&urls),
+            limit: plan.connections,
+            opened: AtomicUsize::new(0),
+            state: Mutex::default(),
+        }));
     }
-    arrive(plan, &queues).await;
-    drop(queues);
+    let mut tasks = arrive(plan, &pools).await;
+    let end = Instant::now() + DRAIN_LIMIT;
+    while let Ok(Some(_)) = timeout_at(end.into(), tasks.join_next()).await {}
+    tasks.shutdown().await;
     let mut figures = LoadFigures::new();
-    while let Some(joined) = tasks.join_next().await {
-        let Ok(parts) = joined else { continue };
-        for (key, part) in parts {
-            add(figures.entry(key).or_default(), &part);
+    for pool in pools {
+        let mut state = pool.lock();
+        for (phase, mut part) in std::mem::take(&mut state.figures) {
+            let decided = part.in_time
+                + part.late
+                + part.refused
+                + part.unconnected
+                + part.failed
+                + part.wrong;
+            part.unfinished = part.offered - decided;
+            figures.insert((phase, pool.entry.kind), part);
         }
     }
     Ok(figures)
 }
 
-type KindQueue = (Arc<MixEntry>, Vec<mpsc::UnboundedSender<Arrival>>);
+struct CallerConnection {
+    client: Client,
+    statement: Statement,
+}
+
+#[derive(Default)]
+struct PoolState {
+    idle: Vec<CallerConnection>,
+    /// Connections that are open or being opened.
+    open: usize,
+    figures: BTreeMap<&'static str, KindFigures>,
+}
+
+/// Connections and figures of one kind.
+struct KindPool {
+    entry: MixEntry,
+    urls: Arc<[String]>,
+    limit: usize,
+    opened: AtomicUsize,
+    state: Mutex<PoolState>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    phase: &'static str,
+    at: Instant,
+    key: i64,
+}
+
+/// How a request ended.
+enum RequestEnd {
+    Answer(Result<Vec<Row>, Error>),
+    Unconnected,
+}
+
+impl KindPool {
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self: Arc<Self>, arrival: Arrival) {
+        let deadline = arrival.at + self.entry.deadline;
+        let mut work = Box::pin(self.request(arrival));
+        // A request is given up at its deadline. Its connection stays busy until the answer has
+        // come, as it does in a caller that does not cancel.
+        if let Ok(end) = timeout_at(deadline.into(), &mut work).await {
+            self.count(arrival, end);
+            return;
+        }
+        self.count_late(arrival);
+        if let RequestEnd::Answer(Ok(rows)) = work.await
+            && is_whole(&rows, arrival.key, &self.entry)
+        {
+            let mut state = self.lock();
+            let part = state.figures.entry(arrival.phase).or_default();
+            part.latency.saturating_record(micros(arrival.at.elapsed()));
+        }
+    }
+
+    async fn request(&self, arrival: Arrival) -> RequestEnd {
+        let idle = {
+            let mut state = self.lock();
+            let idle = state.idle.pop();
+            if idle.is_none() && state.open >= self.limit {
+                return RequestEnd::Unconnected;
+            }
+            state.open += usize::from(idle.is_none());
+            idle
+        };
+        let connection = match idle {
+            Some(connection) => connection,
+            None => match self.open().await {
+                Ok(connection) => connection,
+                Err(_) => {
+                    self.lock().open -= 1;
+                    return RequestEnd::Unconnected;
+                }
+            },
+        };
+        let result = connection.client.query(&connection.statement, &[&arrival.key]).await;
+        let mut state = self.lock();
+        if connection.client.is_closed() {
+            state.open -= 1;
+        } else {
+            state.idle.push(connection);
+        }
+        RequestEnd::Answer(result)
+    }
+
+    async fn open(&self) -> Result<CallerConnection, Error> {
+        let number = self.opened.fetch_add(1, Ordering::Relaxed);
+        let url = &self.urls[number % self.urls.len()];
+        let client = connect(url, self.entry.application).await?;
+        let statement = client.prepare(self.entry.statement).await?;
+        Ok(CallerConnection { client, statement })
+    }
+
+    fn count_late(&self, arrival: Arrival) {
+        self.lock().figures.entry(arrival.phase).or_default().late += 1;
+    }
 
-async fn arrive(plan: &LoadPlan, queues: &[KindQueue]) {
+    fn count(&self, arrival: Arrival, end: RequestEnd) {
+        let elapsed = micros(arrival.at.elapsed());
+        let mut state = self.lock();
+        let part = state.figures.entry(arrival.phase).or_default();
+        match end {
+            RequestEnd::Answer(Ok(rows)) if is_whole(&rows, arrival.key, &self.entry) => {
+                part.in_time += 1;
+                part.latency.saturating_record(elapsed);
+                part.from_replica += u64::from(is_from_replica(&rows, &self.entry));
+            }
+            RequestEnd::Answer(Ok(_)) => part.wrong += 1,
+            RequestEnd::Answer(Err(error)) if is_refusal(&error) => {
+                part.refused += 1;
+                part.refusal.saturating_record(elapsed);
+            }
+            RequestEnd::Answer(Err(_)) => part.failed += 1,
+            RequestEnd::Unconnected => part.unconnected += 1,
+        }
+    }
+}
+
+async fn arrive(plan: &LoadPlan, pools: &[Arc<KindPool>]) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
     let mut rng = StdRng::seed_from_u64(plan.seed);
-    let total: u32 = queues.iter().map(|(entry, _)| entry.weight).sum();
+    let total: u32 = pools.iter().map(|pool| pool.entry.weight).sum();
     let mut phase_start = Instant::now();
     for phase in &plan.phases {
         let end = phase_start + phase.span;
@@ -168,6 +316,7 @@
                 break;
             }
             sleep_until(at.into()).await;
+            while tasks.try_join_next().is_some() {}
             let long = next_long <= next_short;
             if long {
                 next_long = at + gap(&mut rng, phase.reports);
@@ -175,28 +324,26 @@
                 next_short = at + gap(&mut rng, phase.rate);
             }
             let pick = rng.random_range(0..total.max(1));
-            let Some(senders) = choose(queues, long, pick) else { continue };
-            let sender = &senders[rng.random_range(0..senders.len())];
             let key = rng.random_range(1..=TABLE_ROWS);
-            let _ = sender.send(Arrival { phase: phase.name, at, key });
+            let Some(pool) = choose(pools, long, pick) else { continue };
+            pool.lock().figures.entry(phase.name).or_default().offered += 1;
+            let arrival = Arrival { phase: phase.name, at, key };
+            tasks.spawn(Arc::clone(pool).serve(arrival));
         }
         phase_start = end;
     }
+    tasks
 }
 
-fn choose(
-    queues: &[KindQueue],
-    long: bool,
-    pick: u32,
-) -> Option<&[mpsc::UnboundedSender<Arrival>]> {
+fn choose(pools: &[Arc<KindPool>], long: bool, pick: u32) -> Option<&Arc<KindPool>> {
     let mut passed = 0;
-    for (entry, senders) in queues {
-        if entry.long != long {
+    for pool in pools {
+        if pool.entry.long != long {
             continue;
         }
-        passed += entry.weight;
+        passed += pool.entry.weight;
         if long || pick < passed {
-            return Some(senders);
+            return Some(pool);
         }
     }
     None
@@ -211,36 +358,6 @@
     Duration::from_secs_f64(-uniform.ln() / rate)
 }
 
-async fn session(
-    client: Client,
-    statement: Statement,
-    entry: Arc<MixEntry>,
-    mut arrivals: mpsc::UnboundedReceiver<Arrival>,
-) -> LoadFigures {
-    let mut figures = LoadFigures::new();
-    while let Some(arrival) = arrivals.recv().await {
-        let result = client.query(&statement, &[&arrival.key]).await;
-        let elapsed = arrival.at.elapsed();
-        let part = figures.entry((arrival.phase, entry.kind)).or_default();
-        part.offered += 1;
-        match result {
-            Ok(rows) if is_whole(&rows, arrival.key, &entry) => {
-                part.latency.saturating_record(micros(elapsed));
-                if elapsed <= entry.deadline {
-                    part.in_time += 1;
-                } else {
-                    part.late += 1;
-                }
-                part.from_replica += u64::from(is_from_replica(&rows, &entry));
-            }
-            Ok(_) => part.wrong += 1,
-            Err(error) if is_refusal(&error) => part.refused += 1,
-            Err(_) => part.failed += 1,
-        }
-    }
-    figures
-}
-
 fn is_whole(rows: &[Row], key: i64, entry: &MixEntry) -> bool {
     let [row] = rows else { return false };
     let item: i64 = row.get(0);
@@ -260,14 +377,3 @@
 fn is_refusal(error: &Error) -> bool {
     error.as_db_error().is_some_and(|error| error.message().ends_with("not run"))
 }
-
-fn add(sum: &mut KindFigures, part: &KindFigures) {
-    sum.offered += part.offered;
-    sum.in_time += part.in_time;
-    sum.late += part.late;
-    sum.refused += part.refused;
-    sum.failed += part.failed;
-    sum.wrong += part.wrong;
-    sum.from_replica += part.from_replica;
-    let _ = sum.latency.add(&part.latency);
-}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod naive;
 pub mod overhead;
 pub mod report;
+pub mod sweep;
