fix(core): let sessions that read often return from the primary to the replicas

Cause: a read on the primary raises the session's floor to the primary's position, which replicas reach only after their lag. A session that reads more often than that is refused by both replicas, waits 5 ms for a fresh status at each, and goes to the primary again, for good. Replicas a few milliseconds apart refuse each other's sessions in the same way, and the broker did not know the positions that its own answers carried. Magnolia's rates leave more time between two reads of a session. Change: a session reads where it read last; an answer raises the broker's known position of its replica; after 250 ms on the primary one read is held until the replicas have probably caught up, for at most a quarter of its deadline, with doubling pauses when that was in vain. The held reads raise p99 while many connections are new, since each of them starts with the primary's mark as its floor.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -138,6 +138,21 @@
     pub fn age_at(&self, now: Micros) -> Micros {
         self.age + now.since(self.asked)
     }
+
+    /// Returns the status as an answer of a replica at `position` shows it, if that is further on.
+    ///
+    /// Positions of different terms are left to the probe, which also learns the role.
+    #[must_use]
+    pub fn raised_by_answer(&self, position: LogPosition) -> Option<Self> {
+        let known = self.position;
+        if self.role != TargetRole::Replica
+            || position.term != known.term
+            || position.offset <= known.offset
+        {
+            return None;
+        }
+        Some(Self { position, received: self.received.max(position), ..*self })
+    }
 }
 
 /// Whether a position contains a floor.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,8 +1,12 @@
 //! Routes: which targets exist, who brokers them and which of them may serve a request.
 
 mod choice;
+mod stay;
 
-pub use choice::{ChoiceQuery, FailedTry, choose_target};
+pub use {
+    choice::{ChoiceQuery, FailedTry, choose_target},
+    stay::PrimaryStay,
+};
 
 use {
     crate::{
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -34,6 +34,11 @@
     pub region: &'a str,
     /// Availability zone of the entry.
     pub zone: &'a str,
+    /// Replica that served the session's latest read, if it was a replica.
+    ///
+    /// It has reached the session's floor for certain; another one with the same lag may be a few
+    /// milliseconds behind it.
+    pub last: Option<&'a str>,
     /// Earlier tries of this request.
     pub tries: &'a [FailedTry],
     /// Random number that decides among equal targets.
@@ -100,6 +105,14 @@
         }
         equals += u64::from(distance == best);
     }
+    if let Some(last) = query.last {
+        for target in &route.targets {
+            let same = target.server.as_str() == last;
+            if same && is_candidate(target) && distance(target, query) == best {
+                return Some(target);
+            }
+        }
+    }
     let mut skip = query.random.checked_rem(equals)?;
     for target in &route.targets {
         if !is_candidate(target) || distance(target, query) != best {
--- a/crates/core/tests/choose_target.rs
+++ b/crates/core/tests/choose_target.rs
@@ -51,7 +51,16 @@
 }
 
 const fn query<'a>(rule: &'a SheetRule, tries: &'a [FailedTry], random: u64) -> ChoiceQuery<'a> {
-    ChoiceQuery { rule, write: false, floor_known: true, region: "east", zone: "e1", tries, random }
+    ChoiceQuery {
+        rule,
+        write: false,
+        floor_known: true,
+        region: "east",
+        zone: "e1",
+        last: None,
+        tries,
+        random,
+    }
 }
 
 fn chosen(route: &DatabaseRoute, query: &ChoiceQuery<'_>) -> Result<String, FailureKind> {
--- a/crates/entry/src/broker/pump.rs
+++ b/crates/entry/src/broker/pump.rs
@@ -342,6 +342,7 @@
         if let Some(position) = position
             && rose
         {
+            self.shared.raise_status(position);
             // The mark rises before the answer leaves, so that it covers every acknowledgement.
             let gate = self.gate.borrow();
             if gate.route.primary.as_deref() == Some(&*self.shared.server) {
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -467,6 +467,17 @@
         };
     }
 
+    /// Raises a replica's known position to that of its answer, which may be newer than the probe's.
+    pub(super) fn raise_status(&self, position: LogPosition) {
+        self.status.send_if_modified(|status| {
+            let raised = status.and_then(|known| known.raised_by_answer(position));
+            if raised.is_some() {
+                *status = raised;
+            }
+            raised.is_some()
+        });
+    }
+
     /// Forgets the high-water mark, since another broker may have acknowledged commits since.
     pub(super) fn forget_mark(&self) {
         self.lock().mark = None;
--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -12,10 +12,17 @@
         startup::{self, CallerIdentity},
     },
     crate::link::{GrantRouter, LinkOutput, TransactionStatus},
-    banyansill_core::{failure::FailureKind, floor::SessionFloor, time::Micros},
+    banyansill_core::{
+        failure::FailureKind, floor::SessionFloor, names::SharedName, route::PrimaryStay,
+        time::Micros,
+    },
     bytes::{BufMut, Bytes, BytesMut},
     ntex::{io::Io, util::Either},
-    std::{rc::Rc, sync::Arc, time::Duration},
+    std::{
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -122,6 +129,11 @@
     pub(super) store: StatementStore,
     pub(super) batch: CallerBatch,
     pub(super) floor: SessionFloor,
+    /// Replica that served the latest request, if it was a replica.
+    pub(super) last_replica: Option<SharedName>,
+    pub(super) primary_stay: PrimaryStay,
+    /// Start of the times in `primary_stay`.
+    pub(super) opened: Instant,
     pub(super) state: TransactionState,
     pub(super) grant: Option<HeldGrant>,
     /// Messages are dropped up to the next Sync, as after any error in the extended protocol.
@@ -164,6 +176,9 @@
                 store: StatementStore::default(),
                 batch: CallerBatch::default(),
                 floor: SessionFloor::unknown(),
+                last_replica: None,
+                primary_stay: PrimaryStay::default(),
+                opened: Instant::now(),
                 state: TransactionState::Idle,
                 grant: None,
                 skipping: false,
--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -232,6 +232,9 @@
             _ => (None, !summary.read || summary.pins),
         };
         let mut tries: Vec<FailedTry> = Vec::new();
+        if !write && begin.is_none() {
+            self.hold_for_replicas(summary).await;
+        }
         loop {
             let opened = self.choose(summary, write, begin.is_some(), &tries, started).await;
             let mut grant = match opened {
@@ -257,6 +260,7 @@
             let (failure, refused, answered) = match end {
                 ExchangeEnd::Ready => {
                     self.count_read(&grant, summary);
+                    self.note_server(&grant, summary);
                     self.keep_grant(grant);
                     return Ok(Ok(()));
                 }
@@ -280,6 +284,38 @@
         }
     }
 
+    /// Holds a read whose session has been on the primary for longer than replicas usually lag.
+    async fn hold_for_replicas(&mut self, summary: &RequestSummary) {
+        let table = self.shared.routes.borrow().clone();
+        let Ok((_, rule)) = self.rule(&table, summary) else { return };
+        if rule.targets == RuleTargets::Primary || rule.max_age == Some(Micros::ZERO) {
+            return;
+        }
+        let hold = self.primary_stay.take_hold(elapsed(self.opened), rule.deadline);
+        if hold > Micros::ZERO {
+            tokio::time::sleep(hold.as_duration()).await;
+        }
+    }
+
+    /// Remembers which server answered, for the choice at the next read.
+    fn note_server(&mut self, grant: &HeldGrant, summary: &RequestSummary) {
+        if !grant.on_primary {
+            self.last_replica = Some(grant.server.clone());
+            self.primary_stay.record_replica();
+            return;
+        }
+        self.last_replica = None;
+        if summary.read && grant.access == GrantAccess::Read {
+            let table = self.shared.routes.borrow().clone();
+            let may_use_replicas = self.rule(&table, summary).is_ok_and(|(_, rule)| {
+                rule.targets != RuleTargets::Primary && rule.max_age != Some(Micros::ZERO)
+            });
+            if may_use_replicas {
+                self.primary_stay.record_primary(elapsed(self.opened));
+            }
+        }
+    }
+
     /// Waits for a change of routes after a failure that a handover explains.
     ///
     /// Returns false if the request has to be refused.
@@ -404,6 +440,7 @@
             floor_known: self.floor.is_known(),
             region: &settings.region,
             zone: &settings.zone,
+            last: self.last_replica.as_deref(),
             tries,
             random: rand::random(),
         };
