--- a/crates/load/examples/deployment_load.rs
+++ b/crates/load/examples/deployment_load.rs
@@ -55,6 +55,8 @@
             optional --seeds seeds: u64
             /// Side: banyansill, naive or both.
             optional --side side: String
+            /// Microseconds that a short statement takes on a server.
+            optional --statement-us statement_us: u64
             /// Lag of the replicas in milliseconds.
             optional --lag-ms lag_ms: u64
             /// Lag of the last replica in milliseconds, if it differs.
@@ -124,6 +126,7 @@
         lags: [u64; 3],
         sheet: &[u8],
         entries: usize,
+        statement_us: u64,
     ) -> Result<Self, AnyError> {
         let mut deployment = Self {
             folder: folder.to_owned(),
@@ -151,7 +154,7 @@
                 "database": size.database, "server": name, "listen": address.to_string(),
                 "replication_listen": replication.to_string(), "role": role,
                 "slots": size.slots, "connections": size.connections, "connection_cost_ms": 12,
-                "statement_cost_us": 2_000, "lag_ms": lag, "control": [http.to_string()],
+                "statement_cost_us": statement_us, "lag_ms": lag, "control": [http.to_string()],
                 "log": "warn",
             });
             add(&mut settings, &place);
@@ -248,6 +251,7 @@
         seed: arguments.seed.unwrap_or(1),
         seeds: arguments.seeds.unwrap_or(1),
     };
+    let statement_us = arguments.statement_us.unwrap_or(2_000);
     let lag = arguments.lag_ms.unwrap_or(200);
     let lags = [lag, lag, arguments.last_lag_ms.unwrap_or(lag)];
     let sheet = match &arguments.sheet {
@@ -263,7 +267,8 @@
         }
         let folder = tempfile::tempdir()?;
         let entries = if name == "naive" { 0 } else { 3 };
-        let deployment = Deployment::open(folder.path(), &size, lags, &sheet, entries).await?;
+        let deployment =
+            Deployment::open(folder.path(), &size, lags, &sheet, entries, statement_us).await?;
         let mut urls = Vec::new();
         for address in &deployment.entries {
             urls.push(deployment.url(*address));
@@ -285,8 +290,12 @@
     }
     println!("load average after: {}", load_average());
     #[allow(clippy::cast_precision_loss)]
-    let capacity =
-        SlotCapacity { servers: 3.0, slots: size.slots as f64, statement: 0.002, report: 2.0 };
+    let capacity = SlotCapacity {
+        servers: 3.0,
+        slots: size.slots as f64,
+        statement: statement_us as f64 / 1_000_000.0,
+        report: 2.0,
+    };
     print!("{}", options.report(&mix, &runs, &capacity));
     if let Some(output) = arguments.output {
         report::write(&output, &runs).map_err(|error| error.to_string())?;
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -181,7 +181,7 @@
 
 struct CallerConnection {
     client: Client,
-    statement: Statement,
+    statement: Option<Statement>,
 }
 
 #[derive(Default)]
@@ -248,17 +248,17 @@
             state.open += usize::from(idle.is_none());
             idle
         };
-        let connection = match idle {
+        let mut connection = match idle {
             Some(connection) => connection,
             None => match self.open().await {
-                Ok(connection) => connection,
+                Ok(client) => CallerConnection { client, statement: None },
                 Err(_) => {
                     self.lock().open -= 1;
                     return RequestEnd::Unconnected;
                 }
             },
         };
-        let result = connection.client.query(&connection.statement, &[&arrival.key]).await;
+        let result = self.query(&mut connection, arrival.key).await;
         let mut state = self.lock();
         if connection.client.is_closed() {
             state.open -= 1;
@@ -268,12 +268,21 @@
         RequestEnd::Answer(result)
     }
 
-    async fn open(&self) -> Result<CallerConnection, Error> {
+    /// Prepares the statement at the first use; a refusal of that leaves the connection usable.
+    async fn query(&self, connection: &mut CallerConnection, key: i64) -> Result<Vec<Row>, Error> {
+        let statement = match &connection.statement {
+            Some(statement) => statement.clone(),
+            None => {
+                let statement = connection.client.prepare(self.entry.statement).await?;
+                connection.statement.insert(statement).clone()
+            }
+        };
+        connection.client.query(&statement, &[&key]).await
+    }
+
+    async fn open(&self) -> Result<Client, Error> {
         let number = self.opened.fetch_add(1, Ordering::Relaxed);
-        let url = &self.urls[number % self.urls.len()];
-        let client = connect(url, self.entry.application).await?;
-        let statement = client.prepare(self.entry.statement).await?;
-        Ok(CallerConnection { client, statement })
+        connect(&self.urls[number % self.urls.len()], self.entry.application).await
     }
 
     fn count_late(&self, arrival: Arrival) {
