fix(entry): take the retry budget from the core

Cause: sessions counted retries with a copy of the rule, so the tested RetryBudget was not in use. Change: each worker holds a RetryBudget with the same values, one retry per ten requests and ten saved. Conclusion: the tested budget is the one in use.

--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -22,7 +22,9 @@
 
 use {
     crate::{lease::NodeLease, link::GrantRouter},
-    banyansill_core::{names::SharedName, route::RouteTable, statement::ProfileCache},
+    banyansill_core::{
+        names::SharedName, retry::RetryBudget, route::RouteTable, statement::ProfileCache,
+    },
     banyansill_runtime::{events::EventSink, server::ServerHandle},
     cadence::{Counted, Gauged, StatsdClient},
     ntex::{fn_service, io::Io},
@@ -57,12 +59,6 @@
 /// Classifications that each worker caches, per generation.
 const PROFILE_CACHE_SIZE: usize = 1_024;
 
-/// Retries that a worker may make at once after a quiet time.
-const RETRY_BURST: f32 = 10.0;
-
-/// Retries that each request earns; it bounds the extra load of a failing target to a tenth.
-const RETRY_SHARE: f32 = 0.1;
-
 /// How callers prove who they are.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum CallerAuthentication {
@@ -166,27 +162,28 @@
 #[derive(Debug)]
 struct WorkerState {
     cache: RefCell<ProfileCache>,
-    retries: Cell<f32>,
+    retries: Cell<RetryBudget>,
 }
 
 impl WorkerState {
     fn new() -> Self {
         Self {
             cache: RefCell::new(ProfileCache::new(PROFILE_CACHE_SIZE)),
-            retries: Cell::new(RETRY_BURST),
+            retries: Cell::new(RetryBudget::default()),
         }
     }
 
     fn earn_retry(&self) {
-        self.retries.set((self.retries.get() + RETRY_SHARE).min(RETRY_BURST));
+        let mut budget = self.retries.get();
+        budget.record_attempt();
+        self.retries.set(budget);
     }
 
     fn take_retry(&self) -> bool {
-        let left = self.retries.get() - 1.0;
-        if left >= 0.0 {
-            self.retries.set(left);
-        }
-        left >= 0.0
+        let mut budget = self.retries.get();
+        let allowed = budget.try_retry();
+        self.retries.set(budget);
+        allowed
     }
 }
 
