fix(core): let reads wait for the replicas when an overloaded primary refuses them

Cause: the floor of a new session is the primary's position. A peak that opens many connections sends their reads to the primary until it is overloaded, while the replicas need only their lag to reach the same floor. Change: a read that an overloaded primary refuses after the replicas were behind its floor waits for up to 250 ms after its start, at most a quarter of its deadline, and tries the replicas again, once.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,7 +5,7 @@
 
 pub use {
     choice::{ChoiceQuery, FailedTry, choose_target},
-    stay::PrimaryStay,
+    stay::{PrimaryStay, replica_wait},
 };
 
 use {
--- a/crates/core/src/route/stay.rs
+++ b/crates/core/src/route/stay.rs
@@ -1,6 +1,9 @@
 //! How long a session's reads stay on the primary after its floor has passed the replicas.
 
-use crate::time::Micros;
+use {
+    super::FailedTry,
+    crate::{failure::FailureKind, time::Micros},
+};
 
 /// Time on the primary after which a session tries to return to the replicas.
 const STAY_LIMIT: Micros = Micros::from_millis(250);
@@ -53,3 +56,25 @@
         (self.last + HOLD_LIMIT).since(now)
     }
 }
+
+/// Returns how long a read waits for the replicas after an overloaded primary has refused it; zero is
+/// not at all.
+///
+/// The floor of a new session is the primary's position, so at a peak that opens many connections
+/// their reads go to the primary until it is overloaded, while the replicas need only their lag to
+/// reach the same floor.
+#[must_use]
+pub fn replica_wait(
+    kind: FailureKind,
+    tries: &[FailedTry],
+    elapsed: Micros,
+    deadline: Micros,
+) -> Micros {
+    let overloaded = matches!(kind, FailureKind::Overloaded);
+    let behind = tries.iter().any(|failed| failed.kind == FailureKind::TooStale);
+    let limit = Micros(deadline.0 / 4);
+    if !overloaded || !behind || limit < HOLD_LIMIT || elapsed >= limit {
+        return Micros::ZERO;
+    }
+    HOLD_LIMIT.since(elapsed)
+}
--- a/crates/core/tests/replica_reads.rs
+++ b/crates/core/tests/replica_reads.rs
@@ -10,7 +10,7 @@
         position::{LogPosition, LogTerm},
         route::{
             ChoiceQuery, DatabaseRoute, FailedTry, PrimaryStay, TargetRole, TargetRoute, TermStart,
-            choose_target,
+            choose_target, replica_wait,
         },
         sheet::{RuleSheet, SheetRule},
         time::Micros,
@@ -341,3 +341,24 @@
     urgent.record_primary(Micros::ZERO);
     assert_eq!(urgent.take_hold(Micros::from_secs(5), Micros::from_millis(500)), Micros::ZERO);
 }
+
+// Guards against reads that an overloaded primary refuses although the replicas reach the session's
+// floor well before the deadline, and against a wait that helps nobody.
+#[test]
+fn a_refusal_by_an_overloaded_primary_leads_back_to_the_replicas() {
+    let failed = |server: &str, kind| FailedTry { server: server.into(), epoch: 1, kind };
+    let behind = [failed("b", FailureKind::TooStale), failed("c", FailureKind::TooStale)];
+    let busy = [failed("b", FailureKind::Overloaded), failed("c", FailureKind::Overloaded)];
+    let (elapsed, deadline) = (Micros::from_millis(10), Micros::from_secs(1));
+    let wait = replica_wait(FailureKind::Overloaded, &behind, elapsed, deadline);
+    assert!(wait >= LAG && elapsed + wait <= Micros(deadline.0 / 4), "{wait:?}");
+    for (kind, tries, elapsed, deadline) in [
+        // The replicas are not behind the floor but overloaded too.
+        (FailureKind::Overloaded, &busy, elapsed, deadline),
+        (FailureKind::Unreachable, &behind, elapsed, deadline),
+        (FailureKind::Overloaded, &behind, Micros::from_millis(300), deadline),
+        (FailureKind::Overloaded, &behind, elapsed, Micros::from_millis(500)),
+    ] {
+        assert_eq!(replica_wait(kind, tries, elapsed, deadline), Micros::ZERO, "{kind:?}");
+    }
+}
--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -13,7 +13,7 @@
     banyansill_core::{
         failure::FailureKind,
         names::SharedName,
-        route::{ChoiceQuery, FailedTry, RouteTable, choose_target},
+        route::{ChoiceQuery, FailedTry, RouteTable, choose_target, replica_wait},
         sheet::{RuleAck, RuleTargets, SheetRule},
         time::Micros,
     },
@@ -232,6 +232,7 @@
             _ => (None, !summary.read || summary.pins),
         };
         let mut tries: Vec<FailedTry> = Vec::new();
+        let mut waited = false;
         if !write && begin.is_none() {
             self.hold_for_replicas(summary).await;
         }
@@ -275,6 +276,18 @@
             let rule = self.rule(&table, summary);
             let repeatable = summary.read && rule.is_ok_and(|(_, rule)| rule.repeatable);
             let safe = refused || repeatable;
+            if refused && !waited && !write && request.complete {
+                let rule = self.rule(&self.shared.routes.borrow().clone(), summary);
+                let deadline = rule.map_or(Micros::ZERO, |(_, rule)| rule.deadline);
+                let wait = replica_wait(failure.kind, &tries, elapsed(started), deadline);
+                if wait > Micros::ZERO {
+                    tokio::time::sleep(wait.as_duration()).await;
+                    counters.retries.fetch_add(1, Ordering::Relaxed);
+                    tries.clear();
+                    waited = true;
+                    continue;
+                }
+            }
             if answered || !safe || !request.complete || !self.may_retry(failure.kind, tries.len())
             {
                 return Ok(Err(failure));
