perf(core): index the targets of each entry process

Cause: ExpireEntry and JoinEntry visited every database to find the targets of one entry. 386 expiries, the loss of a zone, held the log's thread for about 2 s, longer than an election timeout and close to the node lease.

All changes of a holder go through one function.

--- a/crates/core/src/cluster/apply.rs
+++ b/crates/core/src/cluster/apply.rs
@@ -12,6 +12,7 @@
         sheets::sheet_digest,
     },
     crate::{names::SharedName, position::LogPosition},
+    std::collections::BTreeSet,
 };
 
 /// Terms of a group's history that are kept; a session floor from an older term is refused.
@@ -108,11 +109,11 @@
     }
 
     fn touch_brokered(&mut self, version: u64, host: &SharedName) {
-        let mut affected = Vec::new();
-        for (name, database) in &self.data.databases {
-            let mut brokers = database.targets.values().filter_map(|target| target.broker.as_ref());
-            if brokers.any(|broker| broker.host == *host) {
-                affected.push(name.clone());
+        let mut affected = BTreeSet::new();
+        for (database, server) in self.holders.of_host(host) {
+            let broker = self.target(database, server).and_then(|target| target.broker.as_ref());
+            if broker.is_some_and(|broker| broker.host == *host) {
+                affected.insert(database.clone());
             }
         }
         for name in affected {
@@ -124,20 +125,20 @@
     ///
     /// It stays recorded as releasing: the leader that assigns the next broker checks its lease again.
     fn end_brokerships(&mut self, version: u64, holder: &BrokerRef) {
-        let mut affected = Vec::new();
-        for (name, database) in &mut self.data.databases {
-            let mut changed = false;
-            for target in database.targets.values_mut() {
+        let held: Vec<_> = self.holders.of_process(holder).cloned().collect();
+        let mut affected = BTreeSet::new();
+        for (database, server) in held {
+            let ended = self.change_holder(&database, &server, |target| {
                 if target.broker.as_ref() != Some(holder) {
-                    continue;
+                    return false;
                 }
                 target.releasing = target.broker.take();
                 target.epoch += 1;
                 target.assigned_version = version;
-                changed = true;
-            }
-            if changed {
-                affected.push(name.clone());
+                true
+            });
+            if ended == Ok(true) {
+                affected.insert(database);
             }
         }
         for name in affected {
@@ -145,6 +146,25 @@
         }
     }
 
+    /// Changes the broker or the releasing process of a target; the only place that does so, which
+    /// keeps the index of holders complete.
+    fn change_holder<T, F>(
+        &mut self,
+        database: &SharedName,
+        server: &SharedName,
+        change: F,
+    ) -> Result<T, ClusterRejection>
+    where
+        F: FnOnce(&mut TargetRecord) -> T,
+    {
+        let group = self.data.databases.get_mut(database).ok_or_else(|| unknown("database"))?;
+        let record = group.targets.get_mut(server).ok_or_else(|| unknown("target"))?;
+        self.holders.remove(database, server, record);
+        let result = change(record);
+        self.holders.add(database, server, record);
+        Ok(result)
+    }
+
     fn join_entry(&mut self, index: u64, info: EntryInfo) -> Outcome {
         if info.host.is_empty() {
             return Err(not_allowed("the host name is empty"));
@@ -193,6 +213,9 @@
     }
 
     fn drop_expired_entries(&mut self) {
+        if self.data.entries.len() <= EXPIRED_KEPT {
+            return;
+        }
         let mut expired = Vec::new();
         for (host, record) in &self.data.entries {
             if !record.live {
@@ -366,7 +389,9 @@
             return Err(not_allowed("the target has not left"));
         }
         let address = record.info.address.clone();
-        self.group_mut(database)?.targets.remove(server);
+        if let Some(removed) = self.group_mut(database)?.targets.remove(server) {
+            self.holders.remove(database, server, &removed);
+        }
         if self.addresses.get(&address) == Some(&(database.clone(), server.clone())) {
             self.addresses.remove(&address);
         }
@@ -393,14 +418,16 @@
         }
         let record = self.target_mut(database, server)?;
         check("epoch", expected_epoch, record.epoch)?;
-        record.releasing = match &broker {
-            // The proposer has seen the release or the end of the earlier holder's lease.
-            Some(_) => None,
-            None => record.broker.take().or_else(|| record.releasing.take()),
-        };
-        record.broker = broker;
-        record.epoch += 1;
-        record.assigned_version = index;
+        self.change_holder(database, server, |record| {
+            record.releasing = match &broker {
+                // The proposer has seen the release or the end of the earlier holder's lease.
+                Some(_) => None,
+                None => record.broker.take().or_else(|| record.releasing.take()),
+            };
+            record.broker = broker;
+            record.epoch += 1;
+            record.assigned_version = index;
+        })?;
         self.touch(index, ChangedItem::Database(database.clone()));
         Ok(true)
     }
--- a/crates/core/src/cluster/mod.rs
+++ b/crates/core/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod apply;
 mod change;
 mod command;
+mod holder;
 mod record;
 mod sheets;
 
@@ -27,6 +28,7 @@
         names::SharedName,
     },
     change::ChangeList,
+    holder::HolderIndex,
     serde::{Deserialize, Serialize},
     sheets::{RequestTable, SheetBook},
     std::collections::BTreeMap,
@@ -49,6 +51,8 @@
     changes: ChangeList,
     /// Holder of each target address; derived from `data`.
     addresses: FastMap<SharedName, (SharedName, SharedName)>,
+    /// Targets of each entry process; derived from `data`.
+    holders: HolderIndex,
 }
 
 impl ClusterState {
@@ -76,6 +80,26 @@
         self.data.databases.get(database)?.targets.get(server)
     }
 
+    /// Returns database and server of the targets that an entry process is the broker of or may still
+    /// hold connections of.
+    pub fn held_by(&self, entry: &BrokerRef) -> impl Iterator<Item = &(SharedName, SharedName)> {
+        self.holders.of_process(entry)
+    }
+
+    /// Returns the same for all processes of a host; a target that moves between two of them comes twice.
+    pub fn held_by_host(
+        &self,
+        host: &SharedName,
+    ) -> impl Iterator<Item = &(SharedName, SharedName)> {
+        self.holders.of_host(host)
+    }
+
+    /// Returns the number of targets whose brokership was revoked and has no successor yet.
+    #[must_use]
+    pub const fn releasing_count(&self) -> usize {
+        self.holders.releasing()
+    }
+
     /// Returns the record of the sheet in force.
     #[must_use]
     pub fn sheet(&self) -> Option<&SheetRecord> {
@@ -139,6 +163,7 @@
         }
         self.changes = ChangeList::starting_at(data.version);
         self.addresses = addresses;
+        self.holders = HolderIndex::of_databases(&data.databases);
         self.data = data;
         Ok(())
     }
