fix(core): give each sheet its own grace before renewals end

Cause: the leader kept only the newest sheet with the time at which it was seen, so each further sheet began the grace of 1.5 s anew. An entry whose watch hangs kept its lease while sheets kept coming.

Change: the leader keeps the sheets whose grace still runs and the newest one that is overdue. The refusal names the oldest sheet that the entry misses. A test with two sheets failed before the change and passes now.

--- a/crates/core/src/detector/lease.rs
+++ b/crates/core/src/detector/lease.rs
@@ -33,11 +33,11 @@
         joined: u64,
     },
     /// The process is behind an accepted sheet.
-    #[error("applies sheet {applied}, sheet {accepted} is in force")]
+    #[error("applies sheet {applied}, sheet {accepted} was accepted too long ago")]
     SheetNotApplied {
         /// Sheet that the process applies.
         applied: u64,
-        /// Sheet in force.
+        /// Oldest known sheet that it misses.
         accepted: u64,
     },
     /// The process has not confirmed that it stopped acknowledging under a closed term.
@@ -82,13 +82,14 @@
                 joined: record.joined_version,
             });
         }
-        if let Some((number, seen)) = self.sheet_seen
-            && signal.sheet_number < number
-            && now > seen + SHEET_GRACE
+        let mut missed =
+            self.sheets_seen.iter().filter(|(number, _)| signal.sheet_number < *number);
+        if let Some((number, seen)) = missed.next()
+            && now > *seen + SHEET_GRACE
         {
             return Err(RenewalRefusal::SheetNotApplied {
                 applied: signal.sheet_number,
-                accepted: number,
+                accepted: *number,
             });
         }
         self.check_fences(state, entry, signal, now)?;
@@ -132,14 +133,19 @@
 
     /// Notes when the leader saw a sheet first.
     ///
-    /// A sheet that was accepted before this leadership has no grace: its acceptance time is unknown.
+    /// Each sheet has its own grace, so that a later one does not extend that of an earlier one. A sheet
+    /// that was accepted before this leadership has no grace: its acceptance time is unknown.
     pub(super) fn note_sheet(&mut self, state: &ClusterState, now: Micros) {
         let number = state.sheet().map_or(0, |record| record.number);
-        match self.sheet_seen {
-            None => self.sheet_seen = Some((number, Micros::ZERO)),
-            Some((seen, _)) if seen < number => self.sheet_seen = Some((number, now)),
+        match self.sheets_seen.back() {
+            None => self.sheets_seen.push_back((number, Micros::ZERO)),
+            Some((seen, _)) if *seen < number => self.sheets_seen.push_back((number, now)),
             Some(_) => {}
         }
+        // Of the sheets that are overdue, the newest one decides alone.
+        while self.sheets_seen.get(1).is_some_and(|(_, seen)| now > *seen + SHEET_GRACE) {
+            self.sheets_seen.pop_front();
+        }
     }
 
     /// Returns the live entries whose lease has run out, and refuses them renewals until
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -20,7 +20,7 @@
         route::TargetRole,
         time::{Micros, NODE_LEASE, grantor_expiry},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
 /// Gap between two ticks after which the leader's own process counts as paused.
@@ -129,7 +129,9 @@
     reached: FastMap<TargetKey, Micros>,
     fences: BTreeMap<SharedName, FenceSignal>,
     expiring: BTreeSet<BrokerRef>,
-    sheet_seen: Option<(u64, Micros)>,
+    /// Sheets in ascending order with the time at which each was seen first; the first one may be the
+    /// only one whose grace has passed.
+    sheets_seen: VecDeque<(u64, Micros)>,
     /// Version of the latest change of an entry and when it was seen.
     entries_seen: Option<(u64, Micros)>,
 }
@@ -159,7 +161,7 @@
             reached: FastMap::default(),
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
-            sheet_seen: None,
+            sheets_seen: VecDeque::new(),
             entries_seen: None,
         }
     }
--- a/crates/core/tests/promotion_rules.rs
+++ b/crates/core/tests/promotion_rules.rs
@@ -126,6 +126,42 @@
     assert!(matches!(renew(&mut next, 0, late), Err(RenewalRefusal::SheetNotApplied { .. })));
 }
 
+/// Guards against a grace that each further sheet begins anew: an entry whose watch hangs would keep its
+/// lease, and act under an old sheet, for as long as sheets keep coming.
+#[test]
+fn later_sheet_does_not_extend_the_grace() {
+    let mut fixture = Fixture::default();
+    let entry = fixture.join("e");
+    let mut table = LivenessTable::new(T0);
+    let apply = |fixture: &mut Fixture, number| {
+        fixture.apply(&ClusterCommand::ApplySheet {
+            number,
+            content: format!("content {number}"),
+            operator: String::new(),
+            request_id: String::new(),
+        });
+    };
+    let renew = |fixture: &Fixture, table: &mut LivenessTable, sheet, now| {
+        fixture.beat(table, &entry, sheet, now);
+        table.renew(&fixture.state, &entry, now, now)
+    };
+    renew(&fixture, &mut table, 0, T0).unwrap();
+    apply(&mut fixture, 1);
+    assert_eq!(renew(&fixture, &mut table, 0, T0), Ok(()));
+    let second = T0 + Micros::from_secs(1);
+    apply(&mut fixture, 2);
+    assert_eq!(renew(&fixture, &mut table, 0, second), Ok(()));
+    // Sheet 1 is overdue for an entry without it, and sheet 2 is not yet for one with sheet 1.
+    let first_due = T0 + SHEET_GRACE + Micros(1);
+    let refused = renew(&fixture, &mut table, 0, first_due);
+    assert_eq!(refused, Err(RenewalRefusal::SheetNotApplied { applied: 0, accepted: 1 }));
+    assert_eq!(renew(&fixture, &mut table, 1, first_due), Ok(()));
+    let second_due = second + SHEET_GRACE + Micros(1);
+    let refused = renew(&fixture, &mut table, 1, second_due);
+    assert_eq!(refused, Err(RenewalRefusal::SheetNotApplied { applied: 1, accepted: 2 }));
+    assert_eq!(renew(&fixture, &mut table, 2, second_due), Ok(()));
+}
+
 /// Guards against a candidate that is chosen by positions read before the last acknowledgement.
 #[test]
 fn positions_from_before_the_fence_do_not_count() {
