perf(control): limit a pass of the leader to what changed or is due

Cause: LivenessTable::tick and AssignmentPlan::new visited every database in every pass, and each pass logged at most 256 commands. Each renewal also visited every closed term.

Change: an agenda in the leader's table lists the databases whose state, reports or announcements brought news, those of an entry whose reports have become too old, and those with a time at which a rule can give another result. A pass takes at most 2,000 of them and logs at most 1,024 commands, changes of primary first, then brokers, then marks of lost targets; what is left out is decided again in the next pass. A renewal visits the closed terms of the entry's own targets only. The broker of a target is chosen among the entries of its zone, else of its region, at most 512 times per pass. Better placement is looked for from a cursor on instead of in rounds over all groups.

Tests: each fault schedule of the simulation compares every pass with one over all databases. A pass decides nothing else and leaves nothing undecided for more than 100 ms.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -22,9 +22,6 @@
 /// Least time between two passes, so that many urgent heartbeats do not occupy the leader.
 const PASS_GAP: Duration = Duration::from_millis(10);
 
-/// Commands that are proposed together; the rest follows in the next round.
-const BATCH_LIMIT: usize = 256;
-
 /// Runs until the task is aborted; does nothing while another replica leads.
 pub async fn run<L, M>(node: ControlNode<L, M>)
 where
@@ -90,14 +87,13 @@
             decisions
         })
         .await;
-    let mut decisions = match decided {
+    let decisions = match decided {
         Ok(decisions) => decisions,
         Err(error) => {
             log::warn!("no decision: {error}");
             return;
         }
     };
-    decisions.truncate(BATCH_LIMIT);
     let mut proposals = Vec::new();
     for (entry, command) in decisions {
         proposals.push(propose(node, entry, command));
--- a/crates/control/src/solo_log.rs
+++ b/crates/control/src/solo_log.rs
@@ -31,9 +31,15 @@
     /// Creates a log that leads; `address` is its own tonic address.
     #[must_use]
     pub fn new(machine: M, address: Option<String>) -> Self {
-        let status = LogStatus { term: 1, leading: true, leader: address, applied: 0 };
+        Self::resumed(machine, 0, address)
+    }
+
+    /// Creates a log that leads and continues a machine that has applied everything up to `index`.
+    #[must_use]
+    pub fn resumed(machine: M, index: u64, address: Option<String>) -> Self {
+        let status = LogStatus { term: 1, leading: true, leader: address, applied: index };
         let (status, _) = watch::channel(status);
-        let state = SoloState { machine, index: 0 };
+        let state = SoloState { machine, index };
         Self { state: Arc::new(Mutex::new(state)), status: Arc::new(status) }
     }
 
--- a/crates/core/src/detector/condition.rs
+++ b/crates/core/src/detector/condition.rs
@@ -19,7 +19,7 @@
 pub const NO_EVIDENCE: Micros = Micros::from_secs(3);
 
 /// Age up to which a broker's report counts; heartbeats come every 500 ms.
-const REPORT_AGE: Micros = Micros::from_millis(1_500);
+pub(super) const REPORT_AGE: Micros = Micros::from_millis(1_500);
 
 /// Condition of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/detector/lease.rs
+++ b/crates/core/src/detector/lease.rs
@@ -106,22 +106,21 @@
         signal: &EntrySignal,
         now: Micros,
     ) -> Result<(), RenewalRefusal> {
-        for (name, fence) in &self.fences {
-            if fence.fenced.is_some() {
+        for (name, server) in state.held_by(entry) {
+            let Some(fence) = self.fences.get(name).filter(|fence| fence.fenced.is_none()) else {
                 continue;
-            }
+            };
             let Some(group) = state.databases().get(name) else { continue };
             if group.planned || now <= fence.closed_seen + FENCE_GRACE {
                 continue;
             }
-            let Some(primary) = group.primary.as_ref() else { continue };
-            let Some(target) = group.targets.get(primary) else { continue };
-            let holds =
-                target.broker.as_ref() == Some(entry) || target.releasing.as_ref() == Some(entry);
-            let key = (name.clone(), primary.clone());
+            if group.primary.as_ref() != Some(server) {
+                continue;
+            }
+            let key = (name.clone(), server.clone());
             let confirmed =
                 signal.reports.get(&key).is_some_and(|report| report.fenced_term >= fence.term);
-            if holds && !confirmed {
+            if !confirmed {
                 return Err(RenewalRefusal::TermNotFenced {
                     database: name.clone(),
                     term: fence.term,
@@ -162,7 +161,7 @@
                 signal.lease_expiry == Micros::ZERO
                     && now < grantor_expiry(signal.heard, NODE_LEASE)
             });
-            if waiting && !holds_brokership(state, &entry) {
+            if waiting && state.held_by(&entry).next().is_none() {
                 continue;
             }
             self.expiring.insert(entry.clone());
@@ -237,11 +236,3 @@
             && signal.applied_version >= group.closed_version
     }
 }
-
-fn holds_brokership(state: &ClusterState, entry: &BrokerRef) -> bool {
-    state.databases().values().any(|group| {
-        group.targets.values().any(|target| {
-            target.broker.as_ref() == Some(entry) || target.releasing.as_ref() == Some(entry)
-        })
-    })
-}
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -3,6 +3,7 @@
 //! The table is the leader's soft state. A new leader starts an empty one and counts every lease that
 //! it does not know as granted at the moment its leadership began.
 
+mod agenda;
 mod condition;
 mod lease;
 
@@ -20,6 +21,7 @@
         route::TargetRole,
         time::{Micros, NODE_LEASE, grantor_expiry},
     },
+    agenda::WorkAgenda,
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
@@ -96,6 +98,8 @@
     /// Whether the lease was valid at the latest heartbeat; a process that was paused for longer
     /// reports stale observations at first.
     trusted: bool,
+    /// Whether the groups of the process were listed again because its reports are too old to count.
+    silent: bool,
     reports: BTreeMap<TargetKey, BrokerReport>,
 }
 
@@ -132,8 +136,16 @@
     /// Sheets in ascending order with the time at which each was seen first; the first one may be the
     /// only one whose grace has passed.
     sheets_seen: VecDeque<(u64, Micros)>,
-    /// Version of the latest change of an entry and when it was seen.
-    entries_seen: Option<(u64, Micros)>,
+    /// When a change of an entry was seen last.
+    entries_changed: Option<Micros>,
+    /// Groups to look at in the next passes.
+    agenda: WorkAgenda,
+    /// Version of the state whose changes are on the agenda; `None` lists every group.
+    state_seen: Option<u64>,
+    /// Targets that are being removed from the state, with the time at which this was decided.
+    removals: BTreeMap<TargetKey, Micros>,
+    /// Group after which the search for better placement continues.
+    placement_cursor: Option<SharedName>,
 }
 
 /// What an operator sees of one entry.
@@ -162,7 +174,11 @@
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
             sheets_seen: VecDeque::new(),
-            entries_seen: None,
+            entries_changed: None,
+            agenda: WorkAgenda::default(),
+            state_seen: None,
+            removals: BTreeMap::new(),
+            placement_cursor: None,
         }
     }
 
@@ -175,6 +191,7 @@
         let previous = self.entries.get(&heartbeat.entry);
         let lease_expiry = previous.map_or(Micros::ZERO, |signal| signal.lease_expiry);
         let trusted = now < lease_expiry;
+        self.note_reports(now, &heartbeat.entry, trusted, &heartbeat.reports);
         if trusted {
             for (key, report) in &heartbeat.reports {
                 if report.reachable {
@@ -188,6 +205,7 @@
             applied_version: heartbeat.applied_version,
             sheet_number: heartbeat.sheet_number,
             trusted,
+            silent: false,
             reports: heartbeat.reports,
         };
         self.entries.insert(heartbeat.entry, signal);
@@ -196,6 +214,7 @@
 
     /// Records an announcement; one of an older incarnation is ignored.
     pub fn announce(&mut self, now: Micros, key: TargetKey, announcement: TargetAnnouncement) {
+        self.note_announcement(now, &key, &announcement);
         if let Some(signal) = self.targets.get_mut(&key) {
             if announcement.incarnation < signal.announcement.incarnation {
                 return;
@@ -211,15 +230,19 @@
     pub fn tick(&mut self, state: &ClusterState, now: Micros) {
         if now.since(self.ticked) > PAUSE_GAP {
             self.observing_since = now;
+            self.reconsider_all();
         }
         self.ticked = now;
         self.ticks += 1;
         self.note_sheet(state, now);
-        self.note_fences(state, now);
-        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
-        if self.entries_seen.is_none_or(|(seen, _)| seen != version) {
-            self.entries_seen = Some((version, now));
+        if self.state_seen.is_none() {
+            // The removals that an earlier pass decided may be older than the observations.
+            self.targets.retain(|(database, server), _| state.target(database, server).is_some());
+            self.reached.retain(|(database, server), _| state.target(database, server).is_some());
         }
+        let changed = self.note_changes(state, now);
+        self.note_fences(state, &changed, now);
+        self.note_silence(state, now);
         if self.ticks.is_multiple_of(CLEAN_EVERY) {
             self.clean(state, now);
         }
@@ -228,8 +251,15 @@
     fn clean(&mut self, state: &ClusterState, now: Micros) {
         self.entries
             .retain(|_, signal| now.since(signal.heard.max(signal.lease_expiry)) <= FORGET_LEASE);
-        self.targets.retain(|(database, server), _| state.target(database, server).is_some());
-        self.reached.retain(|(database, server), _| state.target(database, server).is_some());
+        // Kept for a while, since an entry may report a target that it has not yet seen removed.
+        let (targets, reached) = (&mut self.targets, &mut self.reached);
+        self.removals.retain(|key, decided| {
+            if state.target(&key.0, &key.1).is_none() {
+                targets.remove(key);
+                reached.remove(key);
+            }
+            now.since(*decided) <= FORGET_LEASE
+        });
     }
 
     /// Returns the number of ticks so far.
@@ -238,13 +268,6 @@
         self.ticks
     }
 
-    /// Returns which of `turns` parts of the work is due at the present tick.
-    #[must_use]
-    pub fn turn(&self, turns: usize) -> usize {
-        let turns = u64::try_from(turns.max(1)).unwrap_or(u64::MAX);
-        usize::try_from(self.ticks % turns).unwrap_or(0)
-    }
-
     /// Returns for how long there has been no sign of a target, by itself or by a broker.
     #[must_use]
     pub fn silent_for(&self, key: &TargetKey, now: Micros) -> Micros {
@@ -253,18 +276,15 @@
         now.since(heard.max(reached).max(self.observing_since))
     }
 
-    fn note_fences(&mut self, state: &ClusterState, now: Micros) {
-        self.fences.retain(|name, signal| {
-            state
-                .databases()
-                .get(name)
-                .is_some_and(|group| group.closed && group.term == signal.term)
-        });
-        for (name, group) in state.databases() {
-            if !group.closed {
+    fn note_fences(&mut self, state: &ClusterState, changed: &[SharedName], now: Micros) {
+        for name in changed {
+            let group = state.databases().get(name);
+            let Some(group) = group.filter(|group| group.closed) else {
+                self.fences.remove(name);
                 continue;
-            }
-            let signal = self.fences.get(name).copied().unwrap_or(FenceSignal {
+            };
+            let known = self.fences.get(name).filter(|signal| signal.term == group.term).copied();
+            let mut signal = known.unwrap_or(FenceSignal {
                 term: group.term,
                 closed_version: group.closed_version,
                 closed_seen: now,
@@ -272,7 +292,6 @@
                 candidate_term: group.candidate_term,
                 candidate_seen: now,
             });
-            let mut signal = signal;
             if signal.closed_version != group.closed_version {
                 signal.closed_version = group.closed_version;
                 signal.closed_seen = now;
@@ -281,10 +300,20 @@
                 signal.candidate_term = group.candidate_term;
                 signal.candidate_seen = now;
             }
+            self.fences.insert(name.clone(), signal);
+        }
+        let mut fenced = Vec::new();
+        for (name, signal) in &self.fences {
+            let Some(group) = state.databases().get(name) else { continue };
             if signal.fenced.is_none() && self.is_fenced(state, name, group, now) {
+                fenced.push(name.clone());
+            }
+        }
+        for name in fenced {
+            self.agenda.mark(&name, now);
+            if let Some(signal) = self.fences.get_mut(&name) {
                 signal.fenced = Some(now);
             }
-            self.fences.insert(name.clone(), signal);
         }
     }
 
@@ -331,12 +360,18 @@
 
     /// Returns for how long the set of eligible entries has not changed.
     #[must_use]
-    pub fn entries_stable_for(&self, state: &ClusterState, now: Micros) -> Micros {
-        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
-        match self.entries_seen {
-            Some((seen, since)) if seen == version => now.since(since),
-            _ => Micros::ZERO,
-        }
+    pub fn entries_stable_for(&self, now: Micros) -> Micros {
+        self.entries_changed.map_or(Micros::ZERO, |changed| now.since(changed))
+    }
+
+    /// Returns the group after which the search for better placement continues.
+    pub(crate) const fn placement_cursor(&self) -> Option<&SharedName> {
+        self.placement_cursor.as_ref()
+    }
+
+    /// Sets the group after which the search for better placement continues.
+    pub(crate) fn set_placement_cursor(&mut self, cursor: Option<SharedName>) {
+        self.placement_cursor = cursor;
     }
 
     /// Returns when this leadership began.
--- a/crates/core/src/promotion/assign.rs
+++ b/crates/core/src/promotion/assign.rs
@@ -1,14 +1,16 @@
 //! Which entry is the broker of which target.
 
 use {
+    super::assignment,
     crate::{
-        cluster::{BrokerRef, ClusterState, EntryRecord, TargetInfo, TargetRecord},
+        cluster::{BrokerRef, ClusterCommand, ClusterState, EntryRecord, TargetInfo, TargetRecord},
+        collections::FastMap,
         detector::{LivenessTable, TargetKey},
         names::SharedName,
         time::Micros,
     },
     foldhash::fast::FixedState,
-    std::hash::BuildHasher,
+    std::{cell::OnceCell, hash::BuildHasher, ops::Bound},
 };
 
 /// Delay of a target's first assignment, so that entries that start at the same time share the targets.
@@ -51,60 +53,61 @@
     best.map(|(_, entry)| entry)
 }
 
-/// Bound of the work on better placement in one round, in pairs of a target and an entry.
+/// Bound of the work on better placement in one search, in pairs of a target and an entry.
 const PLACEMENT_PAIRS: usize = 50_000;
 
-/// Better placement is looked for in one of this many rounds over all groups.
+/// Better placement is looked for in one of this many passes.
 const PLACEMENT_EVERY: u64 = 10;
 
-/// The entries that may become brokers, and the handovers that may begin in this pass.
+/// Brokers that one pass chooses; each choice hashes up to one name per entry of the target's region.
+const CHOICES_PER_PASS: usize = 512;
+
+/// The entries that may become brokers, by place.
+#[derive(Default)]
+struct EligibleEntries<'a> {
+    zones: FastMap<(SharedName, SharedName), Vec<&'a EntryRecord>>,
+    regions: FastMap<SharedName, Vec<&'a EntryRecord>>,
+    all: Vec<&'a EntryRecord>,
+}
+
+impl<'a> EligibleEntries<'a> {
+    fn collect(state: &'a ClusterState, table: &LivenessTable, now: Micros) -> Self {
+        let mut entries = Self::default();
+        for entry in state.entries().values() {
+            if !entry.is_eligible() || !table.holds_lease(&reference(entry), now) {
+                continue;
+            }
+            let (region, zone) = (entry.info.region.clone(), entry.info.zone.clone());
+            entries.zones.entry((region.clone(), zone)).or_default().push(entry);
+            entries.regions.entry(region).or_default().push(entry);
+            entries.all.push(entry);
+        }
+        entries
+    }
+
+    /// Returns the entries among which `preferred_entry` finds the same one as among all.
+    fn nearest(&self, info: &TargetInfo) -> &[&'a EntryRecord] {
+        let zone = self.zones.get(&(info.region.clone(), info.zone.clone()));
+        zone.or_else(|| self.regions.get(&info.region)).unwrap_or(&self.all)
+    }
+}
+
+/// Assignments and handovers of one pass.
 pub(super) struct AssignmentPlan<'a> {
-    state: &'a ClusterState,
-    table: &'a LivenessTable,
-    now: Micros,
-    eligible: Vec<&'a EntryRecord>,
-    /// Handovers for better placement that may still begin.
-    moves_left: usize,
-    /// One target in this many is looked at for better placement in a round.
-    placement_turns: u64,
-    /// Number of times that every group was looked at.
-    round: u64,
+    pub(super) state: &'a ClusterState,
+    pub(super) table: &'a LivenessTable,
+    pub(super) now: Micros,
+    eligible: OnceCell<EligibleEntries<'a>>,
+    choices_left: usize,
 }
 
 impl<'a> AssignmentPlan<'a> {
-    pub(super) fn new(
+    pub(super) const fn new(
         state: &'a ClusterState,
         table: &'a LivenessTable,
         now: Micros,
-        turns: usize,
     ) -> Self {
-        let mut eligible = Vec::new();
-        for entry in state.entries().values() {
-            if entry.is_eligible() && table.holds_lease(&reference(entry), now) {
-                eligible.push(entry);
-            }
-        }
-        let round = table.ticks() / u64::try_from(turns.max(1)).unwrap_or(1);
-        let mut plan =
-            Self { state, table, now, eligible, moves_left: 0, placement_turns: 1, round };
-        let settled = now.since(table.lead_since()) >= REBALANCE_DELAY
-            && table.entries_stable_for(state, now) >= REBALANCE_DELAY;
-        if settled && round.is_multiple_of(PLACEMENT_EVERY) {
-            plan.allow_moves();
-        }
-        plan
-    }
-
-    fn allow_moves(&mut self) {
-        let mut releasing = 0;
-        let mut targets = 0;
-        for group in self.state.databases().values() {
-            targets += group.targets.len();
-            releasing += group.targets.values().filter(|target| target.releasing.is_some()).count();
-        }
-        self.moves_left = REBALANCE_LIMIT.saturating_sub(releasing);
-        let pairs = targets.saturating_mul(self.eligible.len());
-        self.placement_turns = u64::try_from(pairs / PLACEMENT_PAIRS + 1).unwrap_or(1);
+        Self { state, table, now, eligible: OnceCell::new(), choices_left: CHOICES_PER_PASS }
     }
 
     /// Returns the next assignment of a target: `Some(None)` revokes, `None` changes nothing.
@@ -112,13 +115,12 @@
         &mut self,
         key: &TargetKey,
         target: &TargetRecord,
-        closed: bool,
     ) -> Option<Option<BrokerRef>> {
         if target.info.address.is_empty() {
             return None;
         }
         if let Some(broker) = &target.broker {
-            return self.next_of_held(key, target, broker, closed);
+            return self.next_of_held(key, target, broker);
         }
         if let Some(releasing) = &target.releasing {
             let released = self.table.is_gone(self.state, releasing, self.now)
@@ -140,7 +142,6 @@
         key: &TargetKey,
         target: &TargetRecord,
         broker: &BrokerRef,
-        closed: bool,
     ) -> Option<Option<BrokerRef>> {
         if self.table.is_gone(self.state, broker, self.now) {
             return Some(Some(self.best(key, target)?));
@@ -154,24 +155,66 @@
             // Without a successor the draining entry keeps its targets.
             return self.best(key, target).map(|_| None);
         }
-        if closed || self.moves_left == 0 || !self.placement_due(key) {
+        None
+    }
+
+    /// Revokes brokerships that another entry should have, a few at a time, and returns the group after
+    /// which the next search continues, if this pass searched.
+    pub(super) fn improve_placement(
+        &mut self,
+        commands: &mut Vec<ClusterCommand>,
+    ) -> Option<Option<SharedName>> {
+        let settled = self.now.since(self.table.lead_since()) >= REBALANCE_DELAY
+            && self.table.entries_stable_for(self.now) >= REBALANCE_DELAY;
+        if !settled || !self.table.ticks().is_multiple_of(PLACEMENT_EVERY) {
             return None;
         }
-        if self.best(key, target)? == *broker {
-            return None;
+        let mut moves_left = REBALANCE_LIMIT.saturating_sub(self.state.releasing_count());
+        let mut pairs_left = PLACEMENT_PAIRS;
+        let from = match self.table.placement_cursor() {
+            Some(cursor) => Bound::Excluded(cursor.clone()),
+            None => Bound::Unbounded,
+        };
+        let mut cursor = None;
+        for (name, group) in self.state.databases().range((from, Bound::Unbounded)) {
+            if moves_left == 0 || pairs_left == 0 {
+                return Some(cursor.or_else(|| self.table.placement_cursor().cloned()));
+            }
+            cursor = Some(name.clone());
+            if group.closed {
+                continue;
+            }
+            for (server, target) in &group.targets {
+                let holder = self.state.live_broker(target);
+                let Some(holder) = holder.filter(|holder| holder.is_eligible()) else { continue };
+                let key = (name.clone(), server.clone());
+                let count = self.eligible().nearest(&target.info).len();
+                pairs_left = pairs_left.saturating_sub(count.max(1));
+                let best = self.preferred(&key, target);
+                if moves_left == 0 || best.is_none_or(|best| best == reference(holder)) {
+                    continue;
+                }
+                moves_left -= 1;
+                commands.push(assignment(&key, target, None));
+            }
         }
-        self.moves_left -= 1;
         Some(None)
     }
 
-    fn placement_due(&self, key: &TargetKey) -> bool {
-        let hash = FixedState::with_seed(1).hash_one((key.0.as_str(), key.1.as_str()));
-        let turn = self.round / PLACEMENT_EVERY;
-        hash % self.placement_turns == turn % self.placement_turns
+    fn eligible(&self) -> &EligibleEntries<'a> {
+        let (state, table, now) = (self.state, self.table, self.now);
+        self.eligible.get_or_init(|| EligibleEntries::collect(state, table, now))
+    }
+
+    /// Returns the best broker of a target, or `None` if there is none or the pass has chosen enough;
+    /// a target without a broker is looked at again soon.
+    fn best(&mut self, key: &TargetKey, target: &TargetRecord) -> Option<BrokerRef> {
+        self.choices_left = self.choices_left.checked_sub(1)?;
+        self.preferred(key, target)
     }
 
-    fn best(&self, key: &TargetKey, target: &TargetRecord) -> Option<BrokerRef> {
-        let entries = self.eligible.iter().copied();
+    fn preferred(&self, key: &TargetKey, target: &TargetRecord) -> Option<BrokerRef> {
+        let entries = self.eligible().nearest(&target.info).iter().copied();
         preferred_entry(entries, &key.0, &key.1, &target.info).map(reference)
     }
 }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -17,7 +17,7 @@
 
 use {
     crate::{
-        cluster::{ClusterCommand, ClusterState, DatabaseRecord, TargetRecord},
+        cluster::{BrokerRef, ClusterCommand, ClusterState, DatabaseRecord, TargetRecord},
         detector::{LivenessTable, TargetCondition, TargetKey},
         names::SharedName,
         time::Micros,
@@ -25,11 +25,14 @@
     assign::AssignmentPlan,
 };
 
-/// Database groups that one pass looks at, besides those with a closed term.
+/// Database groups that one pass looks at; bounds the time that a pass holds the state machine.
+const GROUPS_PER_PASS: usize = 2_000;
+
+/// Commands of one pass; those that are left out are decided again in the next one.
 ///
-/// Bounds the time that a pass holds the state machine; with 18,000 groups and a pass every 100 ms every
-/// group is seen within 2 s.
-const GROUPS_PER_PASS: usize = 1_000;
+/// The proposer waits for all of them before the next pass. At 256 the loss of a zone, about 23,500
+/// commands at the design size, needed 92 passes.
+pub const COMMANDS_PER_PASS: usize = 1_024;
 
 /// Silence after which a target that was leaving is removed from its group.
 const FORGET_AFTER: Micros = Micros::from_secs(60);
@@ -45,31 +48,69 @@
         let expected_version = record.version;
         commands.push(ClusterCommand::ExpireEntry { host: entry.host, expected_version });
     }
-    let turns = state.databases().len().div_ceil(GROUPS_PER_PASS).max(1);
-    let turn = table.turn(turns);
-    let mut plan = AssignmentPlan::new(state, table, now, turns);
-    for (index, (name, group)) in state.databases().iter().enumerate() {
-        if index % turns != turn && !group.closed {
-            continue;
-        }
-        for (server, target) in &group.targets {
-            let key = (name.clone(), server.clone());
-            if let Some(broker) = plan.next_broker(&key, target, group.closed) {
-                commands.push(ClusterCommand::AssignBroker {
-                    database: name.clone(),
-                    server: server.clone(),
-                    expected_epoch: target.epoch,
-                    broker,
-                });
-            }
-            commands.extend(liveness(state, table, &key, target, now));
-            commands.extend(removal(state, table, &key, (group, target), now));
+    let names = table.take_due(now, GROUPS_PER_PASS);
+    let mut unfinished = Vec::new();
+    let mut plan = AssignmentPlan::new(state, table, now);
+    for name in names {
+        let Some(group) = state.databases().get(&name) else { continue };
+        let count = commands.len();
+        decide_group(&mut plan, &name, group, &mut commands);
+        unfinished.push((name, group, commands.len() > count));
+    }
+    let cursor = plan.improve_placement(&mut commands);
+    if let Some(cursor) = cursor {
+        table.set_placement_cursor(cursor);
+    }
+    for (name, group, unfinished) in unfinished {
+        table.schedule(state, &name, group, unfinished, now);
+    }
+    for command in &commands {
+        if let ClusterCommand::ForgetTarget { database, server, .. } = command {
+            table.note_removal((database.clone(), server.clone()), now);
         }
-        commands.extend(next_step(state, table, name, group, now));
     }
+    commands.sort_by_key(urgency);
+    commands.truncate(COMMANDS_PER_PASS);
     commands
 }
 
+/// Order of the commands of one pass: a database without a primary serves nothing, one without a
+/// broker for a replica serves a little less.
+const fn urgency(command: &ClusterCommand) -> u8 {
+    match command {
+        ClusterCommand::AssignBroker { .. } => 1,
+        ClusterCommand::SetTargetLive { .. } | ClusterCommand::ForgetTarget { .. } => 2,
+        _ => 0,
+    }
+}
+
+fn decide_group(
+    plan: &mut AssignmentPlan<'_>,
+    name: &SharedName,
+    group: &DatabaseRecord,
+    commands: &mut Vec<ClusterCommand>,
+) {
+    let (state, table, now) = (plan.state, plan.table, plan.now);
+    for (server, target) in &group.targets {
+        let key = (name.clone(), server.clone());
+        if let Some(broker) = plan.next_broker(&key, target) {
+            commands.push(assignment(&key, target, broker));
+        }
+        commands.extend(liveness(state, table, &key, target, now));
+        commands.extend(removal(state, table, &key, (group, target), now));
+    }
+    commands.extend(next_step(state, table, name, group, now));
+}
+
+fn assignment(key: &TargetKey, target: &TargetRecord, broker: Option<BrokerRef>) -> ClusterCommand {
+    ClusterCommand::AssignBroker {
+        database: key.0.clone(),
+        server: key.1.clone(),
+        expected_epoch: target.epoch,
+        broker,
+    }
+}
+
 fn liveness(
     state: &ClusterState,
     table: &LivenessTable,
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -25,18 +25,45 @@
     },
     parts::Heartbeat,
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeSet, rc::Rc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+    },
 };
 
 pub const STEP: Micros = Micros::from_millis(25);
 pub const DATABASE: &str = "repairs-1";
 
+/// Longest delay of a decision: a group with unfinished work is looked at every 100 ms.
+const RECHECK_LIMIT: Micros = Micros::from_millis(125);
+
 struct Proposal {
     due: Micros,
     command: ClusterCommand,
     expiring: Option<BrokerRef>,
 }
 
+/// Names a decision without the observations that it carries, which may change at every step.
+fn decision(command: &ClusterCommand) -> String {
+    match command {
+        ClusterCommand::ExpireEntry { host, .. } => format!("expire {host}"),
+        ClusterCommand::SetTargetLive { server, live, .. } => format!("live {server} {live}"),
+        ClusterCommand::ForgetTarget { server, .. } => format!("forget {server}"),
+        ClusterCommand::AssignBroker { server, expected_epoch, broker, .. } => {
+            format!("assign {server} {expected_epoch} {broker:?}")
+        }
+        ClusterCommand::AdoptPrimary { .. } => "adopt".to_owned(),
+        ClusterCommand::CloseTerm { expected_term, planned, .. } => {
+            format!("close {expected_term} {planned}")
+        }
+        ClusterCommand::ChooseCandidate { expected_candidate_term, .. } => {
+            format!("choose {expected_candidate_term}")
+        }
+        ClusterCommand::Promote { term, .. } => format!("promote {term}"),
+        other => format!("{other:?}"),
+    }
+}
+
 pub struct World {
     pub now: Micros,
     pub rng: StdRng,
@@ -54,6 +81,8 @@
     elected: Micros,
     proposals: Vec<Proposal>,
     heartbeats: Vec<Heartbeat>,
+    /// Decisions of a pass over every group that the leader has not made, with the time since when.
+    outstanding: BTreeMap<String, Micros>,
 }
 
 impl World {
@@ -73,6 +102,7 @@
             elected: Micros::ZERO,
             proposals: Vec::new(),
             heartbeats: Vec::new(),
+            outstanding: BTreeMap::new(),
         };
         for number in 0..entries {
             // The slowest clock that the margin allows for, and a fast one.
@@ -214,8 +244,16 @@
         if self.table.is_none() && self.now >= self.elected {
             self.table = Some(LivenessTable::new(self.now));
         }
-        let Some(table) = &mut self.table else { return };
-        for command in decide(&self.state, table, self.now) {
+        let Some(table) = &mut self.table else {
+            self.outstanding.clear();
+            return;
+        };
+        let mut complete = table.clone();
+        complete.reconsider_all();
+        let complete = decide(&self.state, &mut complete, self.now);
+        let commands = decide(&self.state, table, self.now);
+        self.compare(&commands, &complete);
+        for command in commands {
             let expiring = match &command {
                 ClusterCommand::ExpireEntry { host, .. } => {
                     let incarnation = self.state.entries()[host].info.incarnation;
@@ -243,6 +281,19 @@
         }
     }
 
+    /// Compares the decisions of a pass over what changed or is due with those of a pass over every
+    /// group: it decides nothing else, and leaves nothing undecided for longer than `RECHECK_LIMIT`.
+    fn compare(&mut self, commands: &[ClusterCommand], complete: &[ClusterCommand]) {
+        let decided: BTreeSet<_> = commands.iter().map(decision).collect();
+        let expected: BTreeSet<_> = complete.iter().map(decision).collect();
+        assert!(decided.is_subset(&expected), "{commands:?} is not within {complete:?}");
+        self.outstanding.retain(|key, _| expected.contains(key) && !decided.contains(key));
+        for key in expected.difference(&decided) {
+            let since = *self.outstanding.entry(key.clone()).or_insert(self.now);
+            assert!(self.now.since(since) < RECHECK_LIMIT, "{key} has waited since {since:?}");
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, waiting): (Vec<_>, Vec<_>) =
