--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -3,9 +3,7 @@
 use {
     super::{
         AdminState,
-        body::{
-            AcceptedBody, AnnouncedBody, AnnouncementBody, ErrorBody, node_error, payload_error,
-        },
+        body::{AcceptedBody, ErrorBody, node_error, payload_error},
         operations,
     },
     crate::{
@@ -19,7 +17,10 @@
         http::read_body,
         tokens::{self, AccessPolicy, OperatorAccess},
     },
-    banyansill_wire::v1,
+    banyansill_wire::{
+        announcement::{ANNOUNCEMENT_LIMIT, AnnouncedBody, AnnouncementBody},
+        v1,
+    },
     ntex::{
         SharedCfg,
         http::{HttpService, StatusCode, header},
@@ -31,9 +32,6 @@
     std::{future::Future, sync::Arc},
 };
 
-/// Largest announcement, in bytes.
-const ANNOUNCEMENT_LIMIT: usize = 8 * 1024;
-
 pub(super) type Shared<L, M> = web::types::State<Arc<AdminState<L, M>>>;
 
 /// Lists the routes once, for the service and for the check of `docs/openapi.json`.
@@ -121,7 +119,8 @@
         run(&state, async move { shared.client.announce(&shared.node, announcement).await }).await;
     match reply {
         Ok(reply) => {
-            HttpResponse::Ok().json(&AnnouncedBody { term: reply.term, primary: reply.primary })
+            let (term, primary, announce_to) = (reply.term, reply.primary, reply.announce_to);
+            HttpResponse::Ok().json(&AnnouncedBody { term, primary, announce_to })
         }
         Err(error) => node_error(&error),
     }
--- a/crates/core/src/cluster/mod.rs
+++ b/crates/core/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod apply;
 mod change;
 mod command;
+mod holder;
 mod record;
 mod scope;
 mod sheets;
@@ -29,6 +30,7 @@
         names::SharedName,
     },
     change::ChangeList,
+    holder::HolderIndex,
     serde::{Deserialize, Serialize},
     sheets::{RequestTable, SheetBook},
     std::collections::BTreeMap,
@@ -51,6 +53,8 @@
     changes: ChangeList,
     /// Holder of each target address; derived from `data`.
     addresses: FastMap<SharedName, (SharedName, SharedName)>,
+    /// Targets of each entry process; derived from `data`.
+    holders: HolderIndex,
 }
 
 impl ClusterState {
@@ -78,6 +82,36 @@
         self.data.databases.get(database)?.targets.get(server)
     }
 
+    /// Returns database and server of the targets that an entry process is the broker of or may still
+    /// hold connections of.
+    pub fn held_by(&self, entry: &BrokerRef) -> impl Iterator<Item = &(SharedName, SharedName)> {
+        self.holders.of_process(entry)
+    }
+
+    /// Returns the same for all processes of a host; a target that moves between two of them comes twice.
+    pub fn held_by_host(
+        &self,
+        host: &SharedName,
+    ) -> impl Iterator<Item = &(SharedName, SharedName)> {
+        self.holders.of_host(host)
+    }
+
+    /// Returns where a target is to announce itself, or `None` while it is to announce to control.
+    ///
+    /// A group without a primary is adopted from announcements that control itself has heard.
+    #[must_use]
+    pub fn announce_to(&self, database: &str, server: &str) -> Option<&SharedName> {
+        let group = self.data.databases.get(database).filter(|group| group.term > 0)?;
+        let address = &self.live_broker(group.targets.get(server)?)?.info.announce_address;
+        (!address.is_empty()).then_some(address)
+    }
+
+    /// Returns the number of targets whose brokership was revoked and has no successor yet.
+    #[must_use]
+    pub const fn releasing_count(&self) -> usize {
+        self.holders.releasing()
+    }
+
     /// Returns the record of the sheet in force.
     #[must_use]
     pub fn sheet(&self) -> Option<&SheetRecord> {
@@ -141,6 +175,7 @@
         }
         self.changes = ChangeList::starting_at(data.version);
         self.addresses = addresses;
+        self.holders = HolderIndex::of_databases(&data.databases);
         self.data = data;
         Ok(())
     }
--- a/crates/core/src/detector/lease.rs
+++ b/crates/core/src/detector/lease.rs
@@ -1,13 +1,12 @@
 //! Renewal of node leases, release of brokerships and fencing of closed terms.
 
 use {
-    super::{EntrySignal, LivenessTable, SheetWatch, TargetKey},
+    super::{EntrySignal, LivenessTable, TargetKey},
     crate::{
         cluster::{BrokerRef, ClusterState, DatabaseRecord, TargetRecord},
         names::SharedName,
         time::{Micros, NODE_LEASE, SHEET_GRACE, grantor_expiry},
     },
-    std::collections::VecDeque,
     thiserror::Error,
 };
 
@@ -34,11 +33,11 @@
         joined: u64,
     },
     /// The process is behind an accepted sheet.
-    #[error("applies sheet {applied}, sheet {accepted} is in force")]
+    #[error("applies sheet {applied}, sheet {accepted} was accepted too long ago")]
     SheetNotApplied {
         /// Sheet that the process applies.
         applied: u64,
-        /// Sheet in force.
+        /// Oldest known sheet that it misses.
         accepted: u64,
     },
     /// The process has not confirmed that it stopped acknowledging under a closed term.
@@ -83,11 +82,14 @@
                 joined: record.joined_version,
             });
         }
-        let required = self.sheets.as_ref().map_or(0, |sheets| sheets.required);
-        if signal.sheet_number < required {
+        let mut missed =
+            self.sheets_seen.iter().filter(|(number, _)| signal.sheet_number < *number);
+        if let Some((number, seen)) = missed.next()
+            && now > *seen + SHEET_GRACE
+        {
             return Err(RenewalRefusal::SheetNotApplied {
                 applied: signal.sheet_number,
-                accepted: required,
+                accepted: *number,
             });
         }
         self.check_fences(state, entry, signal, now)?;
@@ -104,22 +106,21 @@
         signal: &EntrySignal,
         now: Micros,
     ) -> Result<(), RenewalRefusal> {
-        for (name, fence) in &self.fences {
-            if fence.fenced.is_some() {
+        for (name, server) in state.held_by(entry) {
+            let Some(fence) = self.fences.get(name).filter(|fence| fence.fenced.is_none()) else {
                 continue;
-            }
+            };
             let Some(group) = state.databases().get(name) else { continue };
             if group.planned || now <= fence.closed_seen + FENCE_GRACE {
                 continue;
             }
-            let Some(primary) = group.primary.as_ref() else { continue };
-            let Some(target) = group.targets.get(primary) else { continue };
-            let holds =
-                target.broker.as_ref() == Some(entry) || target.releasing.as_ref() == Some(entry);
-            let key = (name.clone(), primary.clone());
+            if group.primary.as_ref() != Some(server) {
+                continue;
+            }
+            let key = (name.clone(), server.clone());
             let confirmed =
                 signal.reports.get(&key).is_some_and(|report| report.fenced_term >= fence.term);
-            if holds && !confirmed {
+            if !confirmed {
                 return Err(RenewalRefusal::TermNotFenced {
                     database: name.clone(),
                     term: fence.term,
@@ -131,22 +132,18 @@
 
     /// Notes when the leader saw a sheet first, and which sheets must be applied by now.
     ///
-    /// Each sheet has a grace of its own: one for the latest sheet only would begin again with every
-    /// sheet. A sheet that was accepted before this leadership has none: its acceptance time is unknown.
+    /// Each sheet has its own grace, so that a later one does not extend that of an earlier one. A sheet
+    /// that was accepted before this leadership has no grace: its acceptance time is unknown.
     pub(super) fn note_sheet(&mut self, state: &ClusterState, now: Micros) {
         let number = state.sheet().map_or(0, |record| record.number);
-        let first = || SheetWatch { required: number, recent: VecDeque::new() };
-        let sheets = self.sheets.get_or_insert_with(first);
-        let latest = sheets.recent.back().map_or(sheets.required, |(latest, _)| *latest);
-        if number > latest {
-            sheets.recent.push_back((number, now));
+        match self.sheets_seen.back() {
+            None => self.sheets_seen.push_back((number, Micros::ZERO)),
+            Some((seen, _)) if *seen < number => self.sheets_seen.push_back((number, now)),
+            Some(_) => {}
         }
-        while let Some((number, seen)) = sheets.recent.front().copied() {
-            if now <= seen + SHEET_GRACE {
-                return;
-            }
-            sheets.required = number;
-            sheets.recent.pop_front();
+        // Of the sheets that are overdue, the newest one decides alone.
+        while self.sheets_seen.get(1).is_some_and(|(_, seen)| now > *seen + SHEET_GRACE) {
+            self.sheets_seen.pop_front();
         }
     }
 
@@ -164,7 +161,7 @@
                 signal.lease_expiry == Micros::ZERO
                     && now < grantor_expiry(signal.heard, NODE_LEASE)
             });
-            if waiting && !holds_brokership(state, &entry) {
+            if waiting && state.held_by(&entry).next().is_none() {
                 continue;
             }
             self.expiring.insert(entry.clone());
@@ -239,11 +236,3 @@
             && signal.applied_version >= group.closed_version
     }
 }
-
-fn holds_brokership(state: &ClusterState, entry: &BrokerRef) -> bool {
-    state.databases().values().any(|group| {
-        group.targets.values().any(|target| {
-            target.broker.as_ref() == Some(entry) || target.releasing.as_ref() == Some(entry)
-        })
-    })
-}
--- a/crates/core/src/detector/mod.rs
+++ b/crates/core/src/detector/mod.rs
@@ -3,6 +3,7 @@
 //! The table is the leader's soft state. A new leader starts an empty one and counts every lease that
 //! it does not know as granted at the moment its leadership began.
 
+mod agenda;
 mod condition;
 mod lease;
 
@@ -20,6 +21,7 @@
         route::TargetRole,
         time::{Micros, NODE_LEASE, grantor_expiry},
     },
+    agenda::WorkAgenda,
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
@@ -69,6 +71,8 @@
     pub fenced_term: u64,
     /// Connections that are still open.
     pub open_connections: u32,
+    /// Incarnation under which the target announced itself to the broker within `ANNOUNCEMENT_GAP`.
+    pub announced: Option<u64>,
 }
 
 /// Database and server of a target.
@@ -96,6 +100,8 @@
     /// Whether the lease was valid at the latest heartbeat; a process that was paused for longer
     /// reports stale observations at first.
     trusted: bool,
+    /// Whether the groups of the process were listed again because its reports are too old to count.
+    silent: bool,
     reports: BTreeMap<TargetKey, BrokerReport>,
 }
 
@@ -105,6 +111,8 @@
     heard: Micros,
     /// When the present incarnation was heard first.
     begun: Micros,
+    /// Highest position that the incarnation announced or its broker reported.
+    highest: LogPosition,
     announcement: TargetAnnouncement,
 }
 
@@ -118,15 +126,6 @@
     candidate_seen: Micros,
 }
 
-/// Sheets that entries must apply, as one leader saw them accepted.
-#[derive(Clone, Debug)]
-struct SheetWatch {
-    /// Highest number whose grace has run out.
-    required: u64,
-    /// Later numbers and when each was seen first, in their order.
-    recent: VecDeque<(u64, Micros)>,
-}
-
 /// What the control leader has observed of entries and targets.
 #[derive(Clone, Debug)]
 pub struct LivenessTable {
@@ -136,13 +135,23 @@
     ticks: u64,
     entries: FastMap<BrokerRef, EntrySignal>,
     targets: FastMap<TargetKey, TargetSignal>,
-    /// When a broker reported last that it reaches a target.
+    /// When a broker reported last that it reaches or hears a target.
     reached: FastMap<TargetKey, Micros>,
     fences: BTreeMap<SharedName, FenceSignal>,
     expiring: BTreeSet<BrokerRef>,
-    sheets: Option<SheetWatch>,
-    /// Version of the latest change of an entry and when it was seen.
-    entries_seen: Option<(u64, Micros)>,
+    /// Sheets in ascending order with the time at which each was seen first; the first one may be the
+    /// only one whose grace has passed.
+    sheets_seen: VecDeque<(u64, Micros)>,
+    /// When a change of an entry was seen last.
+    entries_changed: Option<Micros>,
+    /// Groups to look at in the next passes.
+    agenda: WorkAgenda,
+    /// Version of the state whose changes are on the agenda; `None` lists every group.
+    state_seen: Option<u64>,
+    /// Targets that are being removed from the state, with the time at which this was decided.
+    removals: BTreeMap<TargetKey, Micros>,
+    /// Group after which the search for better placement continues.
+    placement_cursor: Option<SharedName>,
 }
 
 /// What an operator sees of one entry.
@@ -170,8 +179,12 @@
             reached: FastMap::default(),
             fences: BTreeMap::new(),
             expiring: BTreeSet::new(),
-            sheets: None,
-            entries_seen: None,
+            sheets_seen: VecDeque::new(),
+            entries_changed: None,
+            agenda: WorkAgenda::default(),
+            state_seen: None,
+            removals: BTreeMap::new(),
+            placement_cursor: None,
         }
     }
 
@@ -184,11 +197,17 @@
         let previous = self.entries.get(&heartbeat.entry);
         let lease_expiry = previous.map_or(Micros::ZERO, |signal| signal.lease_expiry);
         let trusted = now < lease_expiry;
+        self.note_reports(now, &heartbeat.entry, trusted, &heartbeat.reports);
         if trusted {
             for (key, report) in &heartbeat.reports {
-                if report.reachable {
+                if report.reachable || report.announced.is_some() {
                     self.reached.insert(key.clone(), now);
                 }
+                if let Some(signal) = self.targets.get_mut(key)
+                    && report.reachable
+                {
+                    signal.highest = signal.highest.max(report.position);
+                }
             }
         }
         let signal = EntrySignal {
@@ -197,6 +216,7 @@
             applied_version: heartbeat.applied_version,
             sheet_number: heartbeat.sheet_number,
             trusted,
+            silent: false,
             reports: heartbeat.reports,
         };
         self.entries.insert(heartbeat.entry, signal);
@@ -205,18 +225,23 @@
 
     /// Records an announcement; one of an older incarnation is ignored.
     pub fn announce(&mut self, now: Micros, key: TargetKey, announcement: TargetAnnouncement) {
+        self.note_announcement(now, &key, &announcement);
         if let Some(signal) = self.targets.get_mut(&key) {
             if announcement.incarnation < signal.announcement.incarnation {
                 return;
             }
             if announcement.incarnation > signal.announcement.incarnation {
                 signal.begun = now;
+                signal.highest = announcement.position;
             }
+            signal.highest = signal.highest.max(announcement.position);
             signal.heard = now;
             signal.announcement = announcement;
             return;
         }
-        let signal = TargetSignal { first_heard: now, heard: now, begun: now, announcement };
+        let highest = announcement.position;
+        let signal =
+            TargetSignal { first_heard: now, heard: now, begun: now, highest, announcement };
         self.targets.insert(key, signal);
     }
 
@@ -234,30 +259,40 @@
         if record.info.incarnation >= announcement.incarnation {
             return false;
         }
-        self.targets
-            .get(key)
-            .is_none_or(|signal| announcement.position < signal.announcement.position)
+        self.targets.get(key).is_none_or(|signal| announcement.position < signal.highest)
     }
 
-    /// Returns when the leader heard the present incarnation of a target first.
+    /// Returns a time at which the present incarnation of a target ran for certain.
+    ///
+    /// One that this leader has not heard itself was recorded before its leadership.
     #[must_use]
-    pub fn begun(&self, key: &TargetKey) -> Option<Micros> {
-        self.targets.get(key).map(|signal| signal.begun)
+    pub fn begun(&self, key: &TargetKey) -> Micros {
+        self.targets.get(key).map_or(self.lead_since, |signal| signal.begun)
+    }
+
+    /// Returns the highest position that the present incarnation of a target is known to have had.
+    #[must_use]
+    pub fn highest(&self, key: &TargetKey) -> Option<LogPosition> {
+        self.targets.get(key).map(|signal| signal.highest)
     }
 
     /// Advances the table: notes pauses of this process, new sheets, closed terms and fences.
     pub fn tick(&mut self, state: &ClusterState, now: Micros) {
         if now.since(self.ticked) > PAUSE_GAP {
             self.observing_since = now;
+            self.reconsider_all();
         }
         self.ticked = now;
         self.ticks += 1;
         self.note_sheet(state, now);
-        self.note_fences(state, now);
-        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
-        if self.entries_seen.is_none_or(|(seen, _)| seen != version) {
-            self.entries_seen = Some((version, now));
+        if self.state_seen.is_none() {
+            // The removals that an earlier pass decided may be older than the observations.
+            self.targets.retain(|(database, server), _| state.target(database, server).is_some());
+            self.reached.retain(|(database, server), _| state.target(database, server).is_some());
         }
+        let changed = self.note_changes(state, now);
+        self.note_fences(state, &changed, now);
+        self.note_silence(state, now);
         if self.ticks.is_multiple_of(CLEAN_EVERY) {
             self.clean(state, now);
         }
@@ -266,8 +301,15 @@
     fn clean(&mut self, state: &ClusterState, now: Micros) {
         self.entries
             .retain(|_, signal| now.since(signal.heard.max(signal.lease_expiry)) <= FORGET_LEASE);
-        self.targets.retain(|(database, server), _| state.target(database, server).is_some());
-        self.reached.retain(|(database, server), _| state.target(database, server).is_some());
+        // Kept for a while, since an entry may report a target that it has not yet seen removed.
+        let (targets, reached) = (&mut self.targets, &mut self.reached);
+        self.removals.retain(|key, decided| {
+            if state.target(&key.0, &key.1).is_none() {
+                targets.remove(key);
+                reached.remove(key);
+            }
+            now.since(*decided) <= FORGET_LEASE
+        });
     }
 
     /// Returns the number of ticks so far.
@@ -276,13 +318,6 @@
         self.ticks
     }
 
-    /// Returns which of `turns` parts of the work is due at the present tick.
-    #[must_use]
-    pub fn turn(&self, turns: usize) -> usize {
-        let turns = u64::try_from(turns.max(1)).unwrap_or(u64::MAX);
-        usize::try_from(self.ticks % turns).unwrap_or(0)
-    }
-
     /// Returns for how long there has been no sign of a target, by itself or by a broker.
     #[must_use]
     pub fn silent_for(&self, key: &TargetKey, now: Micros) -> Micros {
@@ -291,18 +326,15 @@
         now.since(heard.max(reached).max(self.observing_since))
     }
 
-    fn note_fences(&mut self, state: &ClusterState, now: Micros) {
-        self.fences.retain(|name, signal| {
-            state
-                .databases()
-                .get(name)
-                .is_some_and(|group| group.closed && group.term == signal.term)
-        });
-        for (name, group) in state.databases() {
-            if !group.closed {
+    fn note_fences(&mut self, state: &ClusterState, changed: &[SharedName], now: Micros) {
+        for name in changed {
+            let group = state.databases().get(name);
+            let Some(group) = group.filter(|group| group.closed) else {
+                self.fences.remove(name);
                 continue;
-            }
-            let signal = self.fences.get(name).copied().unwrap_or(FenceSignal {
+            };
+            let known = self.fences.get(name).filter(|signal| signal.term == group.term).copied();
+            let mut signal = known.unwrap_or(FenceSignal {
                 term: group.term,
                 closed_version: group.closed_version,
                 closed_seen: now,
@@ -310,7 +342,6 @@
                 candidate_term: group.candidate_term,
                 candidate_seen: now,
             });
-            let mut signal = signal;
             if signal.closed_version != group.closed_version {
                 signal.closed_version = group.closed_version;
                 signal.closed_seen = now;
@@ -319,10 +350,20 @@
                 signal.candidate_term = group.candidate_term;
                 signal.candidate_seen = now;
             }
+            self.fences.insert(name.clone(), signal);
+        }
+        let mut fenced = Vec::new();
+        for (name, signal) in &self.fences {
+            let Some(group) = state.databases().get(name) else { continue };
             if signal.fenced.is_none() && self.is_fenced(state, name, group, now) {
+                fenced.push(name.clone());
+            }
+        }
+        for name in fenced {
+            self.agenda.mark(&name, now);
+            if let Some(signal) = self.fences.get_mut(&name) {
                 signal.fenced = Some(now);
             }
-            self.fences.insert(name.clone(), signal);
         }
     }
 
@@ -369,12 +410,18 @@
 
     /// Returns for how long the set of eligible entries has not changed.
     #[must_use]
-    pub fn entries_stable_for(&self, state: &ClusterState, now: Micros) -> Micros {
-        let version = state.entries().values().map(|entry| entry.version).max().unwrap_or(0);
-        match self.entries_seen {
-            Some((seen, since)) if seen == version => now.since(since),
-            _ => Micros::ZERO,
-        }
+    pub fn entries_stable_for(&self, now: Micros) -> Micros {
+        self.entries_changed.map_or(Micros::ZERO, |changed| now.since(changed))
+    }
+
+    /// Returns the group after which the search for better placement continues.
+    pub(crate) const fn placement_cursor(&self) -> Option<&SharedName> {
+        self.placement_cursor.as_ref()
+    }
+
+    /// Sets the group after which the search for better placement continues.
+    pub(crate) fn set_placement_cursor(&mut self, cursor: Option<SharedName>) {
+        self.placement_cursor = cursor;
     }
 
     /// Returns when this leadership began.
--- a/crates/core/src/promotion/change.rs
+++ b/crates/core/src/promotion/change.rs
@@ -75,8 +75,7 @@
             continue;
         };
         // A new incarnation may be reached by its broker before control hears its announcement.
-        let announced = table.announcement(&key).map(|(_, announcement)| announcement.position);
-        let fell = announced.is_some_and(|announced| position < announced);
+        let fell = table.highest(&key).is_some_and(|highest| position < highest);
         rejoining += usize::from(fell || target.rejoining.is_some());
         answers.push((position, server, target));
     }
--- a/crates/core/tests/sim/fault.rs
+++ b/crates/core/tests/sim/fault.rs
@@ -71,7 +71,7 @@
                 let target = &mut self.targets[number];
                 target.alive = true;
                 target.incarnation += 1;
-                target.heard = false;
+                target.restarted();
                 target.leaving = false;
             }
             Fault::ReplaceTarget(number) => {
@@ -118,7 +118,7 @@
             if !target.alive {
                 target.alive = true;
                 target.incarnation += 1;
-                target.heard = false;
+                target.restarted();
             }
             target.leaving = false;
             target.unheard = false;
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -15,28 +15,60 @@
 use {
     banyansill_core::{
         cluster::{
-            BrokerRef, ClusterCommand, ClusterRejection, ClusterReply, ClusterState, DatabaseRecord,
+            BrokerRef, ClusterCommand, ClusterRejection, ClusterReply, ClusterState,
+            DatabaseRecord, TargetInfo,
         },
-        detector::LivenessTable,
+        detector::{LivenessTable, TargetAnnouncement},
         machine::StateMachine,
+        names::SharedName,
         position::LogPosition,
         promotion::decide,
         time::Micros,
     },
     parts::Heartbeat,
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeSet, rc::Rc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+    },
 };
 
 pub const STEP: Micros = Micros::from_millis(25);
 pub const DATABASE: &str = "repairs-1";
 
+/// Time that a target waits for its broker's reply to an announcement.
+const REPLY_LIMIT: Micros = Micros::from_millis(400);
+
+/// Longest delay of a decision: a group with unfinished work is looked at every 100 ms.
+const RECHECK_LIMIT: Micros = Micros::from_millis(125);
+
 struct Proposal {
     due: Micros,
     command: ClusterCommand,
     expiring: Option<BrokerRef>,
 }
 
+/// Names a decision without the observations that it carries, which may change at every step.
+fn decision(command: &ClusterCommand) -> String {
+    match command {
+        ClusterCommand::ExpireEntry { host, .. } => format!("expire {host}"),
+        ClusterCommand::SetTargetLive { server, live, .. } => format!("live {server} {live}"),
+        ClusterCommand::ForgetTarget { server, .. } => format!("forget {server}"),
+        ClusterCommand::AssignBroker { server, expected_epoch, broker, .. } => {
+            format!("assign {server} {expected_epoch} {broker:?}")
+        }
+        ClusterCommand::AdoptPrimary { .. } => "adopt".to_owned(),
+        ClusterCommand::CloseTerm { expected_term, planned, .. } => {
+            format!("close {expected_term} {planned}")
+        }
+        ClusterCommand::ChooseCandidate { expected_candidate_term, .. } => {
+            format!("choose {expected_candidate_term}")
+        }
+        ClusterCommand::Promote { term, .. } => format!("promote {term}"),
+        other => format!("{other:?}"),
+    }
+}
+
 pub struct World {
     pub now: Micros,
     pub rng: StdRng,
@@ -54,6 +86,10 @@
     elected: Micros,
     proposals: Vec<Proposal>,
     heartbeats: Vec<Heartbeat>,
+    /// Decisions of a pass over every group that the leader has not made, with the time since when.
+    outstanding: BTreeMap<String, Micros>,
+    /// Announcements that brokers took.
+    pub through_brokers: usize,
 }
 
 impl World {
@@ -73,6 +109,8 @@
             elected: Micros::ZERO,
             proposals: Vec::new(),
             heartbeats: Vec::new(),
+            outstanding: BTreeMap::new(),
+            through_brokers: 0,
         };
         for number in 0..entries {
             // The slowest clock that the margin allows for, and a fast one.
@@ -148,7 +186,7 @@
         reply
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now += STEP;
         self.lead();
         self.deliver();
@@ -214,8 +252,16 @@
         if self.table.is_none() && self.now >= self.elected {
             self.table = Some(LivenessTable::new(self.now));
         }
-        let Some(table) = &mut self.table else { return };
-        for command in decide(&self.state, table, self.now) {
+        let Some(table) = &mut self.table else {
+            self.outstanding.clear();
+            return;
+        };
+        let mut complete = table.clone();
+        complete.reconsider_all();
+        let complete = decide(&self.state, &mut complete, self.now);
+        let commands = decide(&self.state, table, self.now);
+        self.compare(&commands, &complete);
+        for command in commands {
             let expiring = match &command {
                 ClusterCommand::ExpireEntry { host, .. } => {
                     let incarnation = self.state.entries()[host].info.incarnation;
@@ -243,6 +289,19 @@
         }
     }
 
+    /// Compares the decisions of a pass over what changed or is due with those of a pass over every
+    /// group: it decides nothing else, and leaves nothing undecided for longer than `RECHECK_LIMIT`.
+    fn compare(&mut self, commands: &[ClusterCommand], complete: &[ClusterCommand]) {
+        let decided: BTreeSet<_> = commands.iter().map(decision).collect();
+        let expected: BTreeSet<_> = complete.iter().map(decision).collect();
+        assert!(decided.is_subset(&expected), "{commands:?} is not within {complete:?}");
+        self.outstanding.retain(|key, _| expected.contains(key) && !decided.contains(key));
+        for key in expected.difference(&decided) {
+            let since = *self.outstanding.entry(key.clone()).or_insert(self.now);
+            assert!(self.now.since(since) < RECHECK_LIMIT, "{key} has waited since {since:?}");
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, waiting): (Vec<_>, Vec<_>) =
@@ -252,6 +311,11 @@
             let Some(table) = &mut self.table else { continue };
             let holder = heartbeat.body.entry.clone();
             table.heartbeat(now, heartbeat.body);
+            if table.holds_lease(&holder, now) {
+                for (server, info, announcement) in heartbeat.news {
+                    self.take_announcement(&server, info, announcement);
+                }
+            }
             let record = self.state.entries().get(&holder.host);
             if !record.is_some_and(|record| record.live && record.info == heartbeat.info) {
                 let reply = self.commit(&ClusterCommand::JoinEntry { entry: heartbeat.info });
@@ -273,24 +337,50 @@
         for number in 0..self.targets.len() {
             let target = &mut self.targets[number];
             let Some((info, announcement)) = target.announcement(self.now) else { continue };
-            let Some(table) = &mut self.table else { continue };
             let server = target.name.clone();
-            let key = (DATABASE.into(), server.clone());
-            let lost_log = table.has_lost_log(&self.state, &key, &announcement);
-            table.announce(self.now, key, announcement);
-            if lost_log {
-                self.commit(&ClusterCommand::SetRejoining {
-                    database: DATABASE.into(),
-                    server: server.clone(),
-                    incarnation: info.incarnation,
-                    rejoining: true,
-                });
+            if let Some(host) = target.announce_to.clone() {
+                let entry = self.entries.iter_mut().find(|entry| entry.host == host).unwrap();
+                if !entry.runs(self.now) || entry.unreachable.contains(&server) {
+                    target.fallback = Some(self.now + REPLY_LIMIT);
+                    continue;
+                }
+                if entry.take_announcement(self.now, &server, (info.clone(), announcement)) {
+                    self.through_brokers += 1;
+                    continue;
+                }
+                target.announce_to = None;
             }
-            if self.state.target(DATABASE, &server).is_none_or(|record| record.info != info) {
-                let database = DATABASE.into();
-                self.commit(&ClusterCommand::RecordTarget { database, server, info });
+            if self.table.is_none() {
+                continue;
             }
+            self.take_announcement(&server, info, announcement);
+            let announce_to = self.state.announce_to(DATABASE, &server).cloned();
+            self.targets[number].announce_to = announce_to;
             self.targets[number].heard = true;
         }
     }
+
+    fn take_announcement(
+        &mut self,
+        server: &SharedName,
+        info: TargetInfo,
+        announcement: TargetAnnouncement,
+    ) {
+        let Some(table) = &mut self.table else { return };
+        let key = (DATABASE.into(), server.clone());
+        let lost_log = table.has_lost_log(&self.state, &key, &announcement);
+        table.announce(self.now, key, announcement);
+        if lost_log {
+            self.commit(&ClusterCommand::SetRejoining {
+                database: DATABASE.into(),
+                server: server.clone(),
+                incarnation: info.incarnation,
+                rejoining: true,
+            });
+        }
+        if self.state.target(DATABASE, server).is_none_or(|record| record.info != info) {
+            let (database, server) = (DATABASE.into(), server.clone());
+            self.commit(&ClusterCommand::RecordTarget { database, server, info });
+        }
+    }
 }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        announcements::AnnounceBook,
         lease::NodeLease,
         session::{CallerRegistry, SessionCounters},
     },
@@ -13,11 +14,13 @@
         server::ServerHandle,
         tokens::{self, AccessPolicy, OperatorAccess},
     },
+    banyansill_wire::announcement::{ANNOUNCEMENT_LIMIT, AnnouncementBody},
     ntex::{
         SharedCfg,
         http::{HttpService, StatusCode, error::PayloadError, header},
         io::Io,
         service::ServiceFactory,
+        util::Bytes,
         web::{self, App, HttpRequest, HttpResponse, types},
     },
     serde::{Deserialize, Serialize},
@@ -35,6 +38,8 @@
 pub struct AdminSources {
     /// Name of this host.
     pub host: SharedName,
+    /// Announcements of the targets whose broker this entry is.
+    pub announcements: AnnounceBook,
     /// Node lease of the entry.
     pub lease: NodeLease,
     /// Routes and the sheet in force.
@@ -162,6 +167,7 @@
 routes! {
     get "/healthz" => health;
     get "/readyz" => readiness;
+    post "/v1/announce" => announce;
     get "/v1/events" => events;
     get "/v1/status" => status;
     put "/v1/log-level" => log_level;
@@ -305,3 +311,22 @@
         Err(fault) => error(StatusCode::BAD_REQUEST, "invalid", fault.to_string()),
     }
 }
+
+async fn announce(sources: types::State<AdminSources>, body: Bytes) -> HttpResponse {
+    if body.len() > ANNOUNCEMENT_LIMIT {
+        let detail = "the announcement is larger than accepted".to_owned();
+        return error(StatusCode::PAYLOAD_TOO_LARGE, "too-large", detail);
+    }
+    let parsed = serde_json::from_slice::<AnnouncementBody>(&body)
+        .map_err(|error| error.to_string())
+        .and_then(AnnouncementBody::announcement);
+    let announcement = match parsed {
+        Ok(announcement) => announcement,
+        Err(detail) => return error(StatusCode::BAD_REQUEST, "invalid", detail),
+    };
+    match sources.announcements.take(announcement) {
+        Ok(reply) => HttpResponse::Ok().json(&reply),
+        // The target goes back to the control addresses of its settings.
+        Err(refusal) => error(StatusCode::MISDIRECTED_REQUEST, "not-broker", refusal.to_string()),
+    }
+}
--- a/crates/entry/tests/admin.rs
+++ b/crates/entry/tests/admin.rs
@@ -6,6 +6,7 @@
     banyansill_core::{event::EventNumber, route::RouteTable},
     banyansill_entry::{
         admin::{AdminServer, AdminSources, ErrorBody, ROUTES},
+        announcements::AnnounceBook,
         lease::NodeLease,
         settings::EntrySettings,
     },
@@ -34,6 +35,11 @@
     (code, body.to_owned())
 }
 
+fn book(bench: &Bench, lease: &NodeLease) -> AnnounceBook {
+    let clock = MonotonicClock::start();
+    AnnounceBook::new("host-1".into(), clock, lease.clone(), bench.routes.subscribe())
+}
+
 // Guards against callers that are sent to an entry which refuses all work.
 #[tokio::test]
 async fn readiness_follows_lease_sheet_and_drain() {
@@ -42,6 +48,7 @@
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let sources = AdminSources {
         host: "host-1".into(),
+        announcements: book(&bench, &lease),
         lease: lease.clone(),
         routes: bench.routes.subscribe(),
         events: bench.handle.events().clone(),
@@ -74,6 +81,7 @@
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let sources = AdminSources {
         host: "host-1".into(),
+        announcements: book(&bench, &bench.lease),
         lease: bench.lease.clone(),
         routes: bench.routes.subscribe(),
         events,
@@ -121,6 +129,7 @@
         registry: bench.handle.registry().clone(),
         counters: bench.handle.counters().clone(),
         access: AccessPolicy::load(Some(tokens.path())).unwrap(),
+        announcements: book(&bench, &bench.lease),
     };
     let admin = AdminServer::bind(SocketAddr::from(([127, 0, 0, 1], 0)), sources).await.unwrap();
     let seen = async |token: &str| {
--- a/crates/entry/tests/log_level.rs
+++ b/crates/entry/tests/log_level.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use {
-    banyansill_entry::admin::{AdminServer, AdminSources, ErrorBody},
-    banyansill_runtime::{logs::LogHandle, tokens::AccessPolicy},
+    banyansill_entry::{
+        admin::{AdminServer, AdminSources, ErrorBody},
+        announcements::AnnounceBook,
+    },
+    banyansill_runtime::{clock::MonotonicClock, logs::LogHandle, tokens::AccessPolicy},
     std::net::SocketAddr,
     support::Bench,
     tokio::io::{AsyncReadExt, AsyncWriteExt},
@@ -42,6 +45,12 @@
         registry: bench.handle.registry().clone(),
         counters: bench.handle.counters().clone(),
         access: AccessPolicy::load(Some(tokens.path())).unwrap(),
+        announcements: AnnounceBook::new(
+            "host-1".into(),
+            MonotonicClock::start(),
+            bench.lease.clone(),
+            bench.routes.subscribe(),
+        ),
     };
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let admin = AdminServer::bind(listen, sources.clone()).await.unwrap();
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -77,6 +77,8 @@
     pub log_entries: u64,
     /// HTTP addresses of control replicas.
     pub control: Vec<SocketAddr>,
+    /// Whether the server announces itself to its broker once control names it.
+    pub broker_announcements: bool,
     /// Least time between the announcement that the server is leaving and its end.
     pub leave_ms: u64,
     /// Greatest time between them; until then the server waits for its running statements, and for its
@@ -109,6 +111,7 @@
             lag_ms: 0,
             log_entries: 50_000,
             control: Vec::new(),
+            broker_announcements: true,
             leave_ms: 3_000,
             leave_limit_ms: 30_000,
             log: "info".to_owned(),
@@ -169,6 +172,7 @@
         settings.leave_limit_ms =
             reader.number("leave_limit_ms", settings.leave_limit_ms, 0, DELAY_LIMIT_MS);
         settings.control = reader.list("control");
+        settings.broker_announcements = reader.boolean("broker_announcements", true);
         if let Some(log) = reader.optional_parsed::<LogLevels>("log") {
             settings.log = log.into();
         }
