test(testkit): add status, log watch, host replacement and a checker of transactions

Cause: the proofs that docs/invariants.md lacks need to see the step of a change of primary, the last statement and the refused connections of a server, and to replace hosts.

Change: testkit reads log files and events while the processes run, asks control and servers for their status with a time limit, replaces a control host, restarts a server without data, and has callers and a checker for transactions of two rows; its own test plants each breach. The stand-in's group_status() gains last_statement_ms and refused_connections. The entry records BS404 when it first reports the fence of its primary's term: docs/events.md listed the event, but nothing recorded it.

--- a/crates/banyansill/examples/sheet_spread.rs
+++ b/crates/banyansill/examples/sheet_spread.rs
@@ -63,6 +63,7 @@
         data: Some(folder.to_owned()),
         replicas: Vec::new(),
         join: false,
+        snapshot_entries: banyansill_control::replica::SNAPSHOT_ENTRIES,
         tokens: None,
         log: "warn".to_owned(),
         log_folder: None,
--- a/crates/banyansill/src/solo.rs
+++ b/crates/banyansill/src/solo.rs
@@ -106,6 +106,7 @@
         data: Some(settings.data.clone()),
         replicas: Vec::new(),
         join: false,
+        snapshot_entries: banyansill_control::replica::SNAPSHOT_ENTRIES,
         tokens: None,
         log: "warn".to_owned(),
         log_folder: None,
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -159,6 +159,7 @@
 ) -> ReplicaSettings {
     let mut replica = ReplicaSettings::single(settings.host.clone(), address.into(), folder);
     replica.join = settings.join;
+    replica.snapshot_entries = settings.snapshot_entries;
     if !settings.replicas.is_empty() {
         replica.initial_members.clear();
         for peer in &settings.replicas {
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -16,5 +16,5 @@
     handle::ReplicaHandle,
     members::{MemberError, MemberStatus},
     service::{ReplicaService, server_builder},
-    settings::{InitialMember, ReplicaError, ReplicaSettings},
+    settings::{InitialMember, ReplicaError, ReplicaSettings, SNAPSHOT_ENTRIES},
 };
--- a/crates/control/src/replica/settings.rs
+++ b/crates/control/src/replica/settings.rs
@@ -9,7 +9,7 @@
 };
 
 /// Log entries after which the default settings take a snapshot.
-const SNAPSHOT_ENTRIES: u64 = 1_000;
+pub const SNAPSHOT_ENTRIES: u64 = 1_000;
 
 /// Replica named in the settings of a new cluster.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a control replica.
 
 use {
+    crate::replica::SNAPSHOT_ENTRIES,
     banyansill_core::names::SharedName,
     banyansill_runtime::settings::{SettingsReader, SettingsSource},
     std::{
@@ -9,6 +10,9 @@
     },
 };
 
+/// Most log entries between two snapshots; a restart reads all of them.
+const SNAPSHOT_ENTRIES_LIMIT: u64 = 1_000_000;
+
 /// Another control replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerSettings {
@@ -35,6 +39,8 @@
     pub http: SocketAddr,
     /// Folder for the replicated log; without one the state is lost when the process ends.
     pub data: Option<PathBuf>,
+    /// Applied log entries after which a snapshot replaces the log's beginning.
+    pub snapshot_entries: u64,
     /// All control replicas at the first start, this one included; empty for a single replica.
     pub replicas: Vec<PeerSettings>,
     /// Whether this replica joins an existing cluster instead of forming a new one.
@@ -68,6 +74,12 @@
             address: reader.optional_parsed("address"),
             http: reader.parsed("http").unwrap_or(ANY),
             data: reader.optional_path("data"),
+            snapshot_entries: reader.number(
+                "snapshot_entries",
+                SNAPSHOT_ENTRIES,
+                1,
+                SNAPSHOT_ENTRIES_LIMIT,
+            ),
             replicas: reader.objects("replicas"),
             join: reader.boolean("join", false),
             tokens: reader.optional_path("tokens"),
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -23,6 +23,7 @@
         data: None,
         replicas: Vec::new(),
         join: false,
+        snapshot_entries: banyansill_control::replica::SNAPSHOT_ENTRIES,
         tokens: None,
         log: "off".to_owned(),
         log_folder: None,
--- a/crates/entry/src/broker/lifecycle.rs
+++ b/crates/entry/src/broker/lifecycle.rs
@@ -3,6 +3,7 @@
 use {
     super::target::{TargetGate, TargetShared},
     banyansill_core::{
+        event::EventNumber,
         failure::FailureKind,
         route::{DatabaseRoute, TargetRole},
         time::Micros,
@@ -84,6 +85,18 @@
         self.probes.lock().unwrap_or_else(PoisonError::into_inner).failed_fresh(sent)
     }
 
+    fn record_fence(&self, term: u64) {
+        if self.fence_recorded.fetch_max(term, Ordering::SeqCst) >= term {
+            return;
+        }
+        let fields = [
+            ("database", self.database.to_string()),
+            ("server", self.server.to_string()),
+            ("term", term.to_string()),
+        ];
+        self.events.record(EventNumber::TermFenced, &fields);
+    }
+
     /// Returns what the broker observes of its target.
     pub(super) fn report(&self) -> v1::TargetReport {
         let gate = self.gate.borrow();
@@ -100,6 +113,9 @@
         let term = gate.route.term.0;
         let finished = !gate.route.planned || self.writers.load(Ordering::SeqCst) == 0;
         let fenced_term = if gate.route.closed && finished { term } else { term.saturating_sub(1) };
+        if fenced_term == term && gate.route.primary.as_ref() == Some(&self.server) {
+            self.record_fence(term);
+        }
         let term_start = *self.term_start.lock().unwrap_or_else(PoisonError::into_inner);
         let term_start = term_start.filter(|(term, _)| {
             status.is_some_and(|status| status.role == TargetRole::Primary && status.term == *term)
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -167,6 +167,8 @@
     pub(super) poll: Notify,
     poll_until: AtomicU64,
     first_write: AtomicBool,
+    /// Highest term whose fence was recorded as an event.
+    pub(super) fence_recorded: AtomicU64,
     /// Write grants that are open; counted before they are admitted.
     pub(super) writers: AtomicU64,
     /// Term that the target was promoted to, and the last position of earlier terms in its log.
@@ -211,6 +213,7 @@
             poll: Notify::new(),
             poll_until: AtomicU64::new(0),
             first_write: AtomicBool::new(false),
+            fence_recorded: AtomicU64::new(0),
             writers: AtomicU64::new(0),
             term_start: Mutex::new(None),
             counters: TargetCounters::default(),
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -35,6 +35,7 @@
     slots: Arc<Semaphore>,
     running: Arc<AtomicU64>,
     max_running: AtomicU64,
+    last_began_ms: AtomicU64,
 }
 
 /// Right to execute a statement; given back when dropped.
@@ -57,6 +58,7 @@
             slots: Arc::new(Semaphore::new(slots)),
             running: Arc::new(AtomicU64::new(0)),
             max_running: AtomicU64::new(0),
+            last_began_ms: AtomicU64::new(0),
         }
     }
 
@@ -65,6 +67,7 @@
         let permit = self.slots.clone().acquire_owned().await.ok()?;
         let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
         self.max_running.fetch_max(running, Ordering::Relaxed);
+        self.last_began_ms.fetch_max(wall_millis(), Ordering::Relaxed);
         Some(StatementPass { running: self.running.clone(), _permit: permit })
     }
 }
@@ -105,6 +108,7 @@
 pub struct SessionTable {
     cancels: FastMap<i32, (i32, watch::Sender<u64>)>,
     max_open: u64,
+    refused: u64,
 }
 
 /// State of one server.
@@ -195,6 +199,7 @@
     pub fn open_session(&self, pid: i32, secret: i32) -> Option<watch::Receiver<u64>> {
         let mut sessions = self.sessions();
         if sessions.cancels.len() as u64 >= self.settings.connections {
+            sessions.refused += 1;
             return None;
         }
         let (sender, receiver) = watch::channel(0);
@@ -224,8 +229,12 @@
 
     /// Returns the row of `group_status()`.
     pub fn status(&self) -> SharedRow {
-        let max_open = self.sessions().max_open;
+        let (max_open, refused) = {
+            let sessions = self.sessions();
+            (sessions.max_open, sessions.refused)
+        };
         let max_running = self.gate.max_running.load(Ordering::Relaxed);
+        let last_began = self.gate.last_began_ms.load(Ordering::Relaxed);
         let state = self.read();
         let replayed = match state.role {
             GroupRole::Primary => wall_millis(),
@@ -240,6 +249,8 @@
             whole(state.lag_ms),
             whole(max_running),
             whole(max_open),
+            whole(last_began),
+            whole(refused),
         ])
     }
 
--- a/crates/standin/src/sql/query.rs
+++ b/crates/standin/src/sql/query.rs
@@ -28,7 +28,7 @@
 };
 
 /// Columns of `group_status()`.
-pub const STATUS_COLUMNS: [(&str, ColumnType); 8] = [
+pub const STATUS_COLUMNS: [(&str, ColumnType); 10] = [
     ("role", ColumnType::Text),
     ("term", ColumnType::Int8),
     ("position", ColumnType::Text),
@@ -37,6 +37,8 @@
     ("lag_ms", ColumnType::Int8),
     ("max_running", ColumnType::Int8),
     ("max_connections", ColumnType::Int8),
+    ("last_statement_ms", ColumnType::Int8),
+    ("refused_connections", ColumnType::Int8),
 ];
 
 /// Binds a query.
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        inspect::target_status,
         process::{TestProcess, free_address},
         proxy::FaultProxy,
     },
@@ -14,7 +15,7 @@
         time::{Duration, Instant},
     },
     tempfile::TempDir,
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
     tokio_postgres::{Client, NoTls},
 };
 
@@ -24,6 +25,9 @@
 /// Interval at which a wait looks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time that one control replica gets to answer an operator.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+
 /// Environment variable that keeps the folder with settings, data and logs after a test.
 const KEEP_VARIABLE: &str = "BANYANSILL_KEEP";
 
@@ -38,6 +42,12 @@
     pub lag_ms: u64,
     /// Slots of each server.
     pub slots: u64,
+    /// Connections that each server accepts.
+    pub connections: u64,
+    /// Time between a server's announcement that it leaves and its end, in milliseconds.
+    pub leave_ms: u64,
+    /// Applied log entries after which a control replica takes a snapshot.
+    pub snapshot_entries: u64,
     /// Execution cost of each statement in microseconds.
     pub statement_cost_us: u64,
     /// Sheet to apply at the start.
@@ -51,6 +61,9 @@
             entries: 2,
             lag_ms: 0,
             slots: 5,
+            connections: 70,
+            leave_ms: 3_000,
+            snapshot_entries: 1_000,
             statement_cost_us: 0,
             sheet: DEFAULT_SHEET.to_owned(),
         }
@@ -135,7 +148,7 @@
             folder.disable_cleanup(true);
             println!("settings, data and logs in {}", folder.path().display());
         }
-        let controls = spawn_controls(folder.path(), plan.controls)?;
+        let controls = spawn_controls(folder.path(), &plan)?;
         let targets = spawn_targets(folder.path(), &plan, &controls).await?;
         let entries = spawn_entries(folder.path(), plan.entries, &controls)?;
         let cluster = Self { entries, targets, controls, folder };
@@ -187,16 +200,19 @@
         while Instant::now() < end {
             for control in &self.controls {
                 let url = format!("http://{}", control.address);
-                let Ok(mut client) = ControlClient::connect(url).await else { continue };
+                let connecting = timeout(ANSWER_LIMIT, ControlClient::connect(url));
+                let Ok(Ok(mut client)) = connecting.await else { continue };
                 let request = ApplySheetRequest {
                     number,
                     content: sheet.as_bytes().to_vec().into(),
                     request_id: request_id.to_owned(),
                     operator: "test".to_owned(),
                 };
-                match client.apply_sheet(request).await {
-                    Ok(reply) => return Ok(reply.into_inner()),
-                    Err(status) => reason = status.to_string(),
+                // A paused replica accepts the connection and never answers.
+                match timeout(ANSWER_LIMIT, client.apply_sheet(request)).await {
+                    Ok(Ok(reply)) => return Ok(reply.into_inner()),
+                    Ok(Err(status)) => reason = status.to_string(),
+                    Err(_) => reason = format!("{} does not answer", control.host),
                 }
             }
             sleep(POLL_INTERVAL).await;
@@ -265,20 +281,52 @@
         Ok(())
     }
 
+    /// Replaces a control host: starts a process with a new name and an empty folder on the address of
+    /// the old one, which must have ended. It takes part once `change_member` has added it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    pub fn replace_control(&mut self, control: usize, host: &str) -> io::Result<()> {
+        let folder = self.folder.path();
+        let old = &mut self.controls[control];
+        let mut settings = read_settings(folder, &old.host)?;
+        settings["host"] = json!(host);
+        settings["data"] = json!(folder.join(format!("{host}-data")).to_string_lossy());
+        settings["join"] = json!(true);
+        old.process = start_with(folder, "banyansill-control", host, &settings)?;
+        host.clone_into(&mut old.host);
+        Ok(())
+    }
+
+    /// Starts a server that has ended again, without data and as a replica that waits for its primary.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    pub fn restart_target(&mut self, target: usize) -> io::Result<()> {
+        let target = &mut self.targets[target];
+        let mut settings = read_settings(self.folder.path(), &target.name)?;
+        settings["role"] = json!("replica");
+        if let Some(settings) = settings.as_object_mut() {
+            settings.remove("follow");
+        }
+        target.process =
+            start_with(self.folder.path(), "banyansill-standin", &target.name, &settings)?;
+        Ok(())
+    }
+
     /// Returns the index of the target that is primary by its own word, with the highest term.
     ///
     /// # Errors
     ///
     /// Returns an error if no target answers.
     pub async fn primary(&self) -> io::Result<usize> {
-        let mut best: Option<(i64, usize)> = None;
+        let mut best: Option<(u64, usize)> = None;
         for (index, target) in self.targets.iter().enumerate() {
-            let Ok(client) = connect(target.address, "test").await else { continue };
-            let query = "SELECT role, term FROM group_status()";
-            let Ok(row) = client.query_one(query, &[]).await else { continue };
-            let (role, term): (String, i64) = (row.get(0), row.get(1));
-            if role == "primary" && best.is_none_or(|(highest, _)| term > highest) {
-                best = Some((term, index));
+            let Ok(status) = target_status(target.address).await else { continue };
+            if status.primary && best.is_none_or(|(highest, _)| status.term > highest) {
+                best = Some((status.term, index));
             }
         }
         best.map(|(_, index)| index).ok_or_else(|| io::Error::other("no primary"))
@@ -311,6 +359,11 @@
     TestProcess::spawn(binary, name, folder, &["--config", &settings])
 }
 
+fn read_settings(folder: &Path, name: &str) -> io::Result<Value> {
+    let text = fs::read_to_string(folder.join(format!("{name}.jsonc")))?;
+    serde_json::from_str(&text).map_err(io::Error::other)
+}
+
 fn start_with(
     folder: &Path,
     binary: &str,
@@ -321,9 +374,9 @@
     start(folder, binary, name)
 }
 
-fn spawn_controls(folder: &Path, count: usize) -> io::Result<Vec<TestControl>> {
+fn spawn_controls(folder: &Path, plan: &ClusterPlan) -> io::Result<Vec<TestControl>> {
     let mut hosts = Vec::new();
-    for number in 1..=count {
+    for number in 1..=plan.controls {
         hosts.push((format!("control-{number}"), free_address()?, free_address()?));
     }
     let mut replicas = Vec::new();
@@ -340,6 +393,7 @@
             "http": http.to_string(),
             "data": folder.join(format!("{host}-data")).to_string_lossy(),
             "replicas": replicas,
+            "snapshot_entries": plan.snapshot_entries,
             "log": "info",
         });
         let process = start_with(folder, "banyansill-control", &host, &settings)?;
@@ -374,7 +428,8 @@
             "zone": "selkirk-yard",
             "role": "primary",
             "slots": plan.slots,
-            "connections": 70,
+            "connections": plan.connections,
+            "leave_ms": plan.leave_ms,
             "lag_ms": plan.lag_ms,
             "statement_cost_us": plan.statement_cost_us,
             "control": http,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod cluster;
 pub mod history;
+pub mod inspect;
 pub mod process;
 pub mod proxy;
+pub mod transactions;
 pub mod usage;
 pub mod workload;
--- a/crates/testkit/src/workload.rs
+++ b/crates/testkit/src/workload.rs
@@ -9,6 +9,7 @@
     std::{
         collections::BTreeSet,
         net::SocketAddr,
+        ops::RangeInclusive,
         time::{Duration, Instant},
     },
     tokio::{
@@ -67,9 +68,14 @@
 impl Workload {
     /// Starts `callers` callers that spread over the entries and move when a connection ends.
     pub fn spawn(entries: &[SocketAddr], callers: u64, seed: u64) -> Self {
+        Self::spawn_numbered(entries, 1..=callers, seed)
+    }
+
+    /// Starts callers with the given numbers, so that several workloads share a table.
+    pub fn spawn_numbered(entries: &[SocketAddr], numbers: RangeInclusive<u64>, seed: u64) -> Self {
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        for number in 1..=callers {
+        for number in numbers {
             let caller = TestCaller {
                 number,
                 entries: entries.to_vec(),
@@ -214,7 +220,8 @@
 }
 
 /// Classifies an error by what it says is certain; see `docs/errors.md`.
-fn classify(error: &Error) -> WriteOutcome {
+#[must_use]
+pub fn classify(error: &Error) -> WriteOutcome {
     let Some(answer) = error.as_db_error() else { return WriteOutcome::Unknown };
     if answer.message().ends_with("not run") {
         return WriteOutcome::NotRun;
