--- a/crates/banyansill/examples/entry_cost.rs
+++ b/crates/banyansill/examples/entry_cost.rs
@@ -71,6 +71,7 @@
         zone: zone.clone(),
         callers: CallerSettings::new(ANY_PORT, region, zone),
         peer_listen: ANY_PORT,
+        peer_address: None,
         admin_listen: ANY_PORT,
         control: vec![control],
         target_user: "banyansill".to_owned(),
--- a/crates/banyansill/src/solo.rs
+++ b/crates/banyansill/src/solo.rs
@@ -122,6 +122,7 @@
         zone: zone.clone(),
         callers: CallerSettings::new(settings.listen, region, zone),
         peer_listen: ANY_PORT,
+        peer_address: None,
         admin_listen: ANY_PORT,
         control: vec![control],
         target_user: "banyansill".to_owned(),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -121,6 +121,7 @@
         reports: brokers.reports(),
         events: events.clone(),
     };
+    let peer_address = settings.peer_address.unwrap_or(peer_address);
     let info = entry_info(&settings, peer_address, callers.address());
     let membership = MembershipHandle::spawn(membership_settings(&settings, info), links);
     events.record(EventNumber::ProcessReady, &[("callers", callers.address().to_string())]);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -25,8 +25,10 @@
     pub zone: SharedName,
     /// Listener for callers and its limits.
     pub callers: CallerSettings,
-    /// Listener for other entries; the address is announced to them.
+    /// Listener for other entries.
     pub peer_listen: SocketAddr,
+    /// Address at which other entries reach the listener; its own unless given.
+    pub peer_address: Option<SocketAddr>,
     /// HTTP listener for health checks.
     pub admin_listen: SocketAddr,
     /// Addresses of all control replicas.
@@ -61,7 +63,8 @@
             }
         }
         let peer_listen = address(reader, "peer_listen");
-        if peer_listen.ip().is_unspecified() {
+        let peer_address = reader.optional_parsed("peer_address");
+        if peer_address.is_none() && peer_listen.ip().is_unspecified() {
             reader.fault("peer_listen", "must be an address that other entries can connect to");
         }
         Self {
@@ -70,6 +73,7 @@
             zone,
             callers,
             peer_listen,
+            peer_address,
             admin_listen: address(reader, "admin_listen"),
             control,
             target_user: reader.string("target_user"),
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -46,6 +46,8 @@
     pub connections: u64,
     /// Time between a server's announcement that it leaves and its end, in milliseconds.
     pub leave_ms: u64,
+    /// Time that a caller may be idle inside a transaction, in milliseconds.
+    pub transaction_idle_ms: u64,
     /// Applied log entries after which a control replica takes a snapshot.
     pub snapshot_entries: u64,
     /// Execution cost of each statement in microseconds.
@@ -63,6 +65,7 @@
             slots: 5,
             connections: 70,
             leave_ms: 3_000,
+            transaction_idle_ms: 60_000,
             snapshot_entries: 1_000,
             statement_cost_us: 0,
             sheet: DEFAULT_SHEET.to_owned(),
@@ -104,6 +107,8 @@
     pub host: String,
     /// Process of the entry.
     pub process: TestProcess,
+    /// Proxy before its listener for other entries, which connect through it.
+    pub peers: FaultProxy,
     /// Address for callers.
     pub address: SocketAddr,
     /// Address of the administration listener.
@@ -150,7 +155,7 @@
         }
         let controls = spawn_controls(folder.path(), &plan)?;
         let targets = spawn_targets(folder.path(), &plan, &controls).await?;
-        let entries = spawn_entries(folder.path(), plan.entries, &controls)?;
+        let entries = spawn_entries(folder.path(), &plan, &controls).await?;
         let cluster = Self { entries, targets, controls, folder };
         let reply = cluster.apply_sheet(1, &plan.sheet, "first").await?;
         if !reply.accepted {
@@ -447,9 +452,9 @@
     Ok(targets)
 }
 
-fn spawn_entries(
+async fn spawn_entries(
     folder: &Path,
-    count: usize,
+    plan: &ClusterPlan,
     controls: &[TestControl],
 ) -> io::Result<Vec<TestEntry>> {
     let mut control = Vec::new();
@@ -457,15 +462,21 @@
         control.push(replica.address.to_string());
     }
     let mut entries = Vec::new();
-    for number in 1..=count {
+    for number in 1..=plan.entries {
         let host = format!("entry-{number}");
         let (address, peer, admin) = (free_address()?, free_address()?, free_address()?);
+        let peers = FaultProxy::bind(peer).await?;
         let settings = json!({
             "host": host,
             "region": "red-river",
             "zone": "selkirk-yard",
-            "callers": { "listen": address.to_string(), "workers": 2 },
+            "callers": {
+                "listen": address.to_string(),
+                "workers": 2,
+                "transaction_idle_ms": plan.transaction_idle_ms,
+            },
             "peer_listen": peer.to_string(),
+            "peer_address": peers.address().to_string(),
             "admin_listen": admin.to_string(),
             "control": control,
             "target_user": "test",
@@ -473,7 +484,7 @@
             "log_levels": "info",
         });
         let process = start_with(folder, "banyansill-entry", &host, &settings)?;
-        entries.push(TestEntry { host, process, address, admin });
+        entries.push(TestEntry { host, process, peers, address, admin });
     }
     Ok(entries)
 }
