--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -47,6 +47,7 @@
             data: None,
             replicas: Vec::new(),
             join: false,
+            snapshot_entries: banyansill_control::replica::SNAPSHOT_ENTRIES,
             tokens,
             log: "off".to_owned(),
             log_folder: None,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -141,6 +141,7 @@
         announcements,
         events: events.clone(),
     };
+    let peer_address = settings.peer_address.unwrap_or(peer_address);
     let info = entry_info(&settings, peer_address, callers.address(), announce_address);
     let membership = MembershipHandle::spawn(membership_settings(&settings, info), links);
     events.record(EventNumber::ProcessReady, &[("callers", callers.address().to_string())]);
