--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,22 +2,22 @@
 
 pub mod admin;
 pub mod announce;
-pub mod command_log;
 pub mod event;
 pub mod forward;
 pub mod handle;
 pub mod leader;
 pub mod members;
 pub mod node;
-pub mod replica;
 pub mod service;
 pub mod settings;
 pub mod solo_log;
 mod status;
-pub mod storage;
 pub mod view;
 pub mod watch;
 
-pub use handle::{ControlHandle, spawn};
+pub use {
+    banyansill_replica::{command_log, replica, storage},
+    handle::{ControlHandle, spawn},
+};
 
 use event::record_event;
--- a/crates/core/src/cluster/mod.rs
+++ b/crates/core/src/cluster/mod.rs
@@ -13,7 +13,8 @@
 mod sheets;
 
 pub use {
-    change::{CHANGES_KEPT, ChangeSet, ChangedItem},
+    crate::change::CHANGES_KEPT,
+    change::{ChangeSet, ChangedItem},
     command::{ClusterCommand, ClusterRejection, ClusterReply},
     record::{
         BrokerRef, CandidateRecord, DatabaseRecord, EntryInfo, EntryRecord, SheetRecord,
@@ -25,11 +26,11 @@
 
 use {
     crate::{
+        change::ChangeList,
         collections::FastMap,
         machine::{SnapshotError, StateMachine},
         names::SharedName,
     },
-    change::ChangeList,
     holder::HolderIndex,
     serde::{Deserialize, Serialize},
     sheets::{RequestTable, SheetBook},
@@ -50,7 +51,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ClusterState {
     data: ClusterData,
-    changes: ChangeList,
+    changes: ChangeList<ChangedItem>,
     /// Holder of each target address; derived from `data`.
     addresses: FastMap<SharedName, (SharedName, SharedName)>,
     /// Targets of each entry process; derived from `data`.
--- a/crates/core/src/consensus/machine.rs
+++ b/crates/core/src/consensus/machine.rs
@@ -216,6 +216,18 @@
         indexes
     }
 
+    /// Returns when each follower last answered, or nothing unless this replica leads.
+    #[must_use]
+    pub fn contacts(&self) -> Vec<(ReplicaIdentity, Micros)> {
+        let mut contacts = Vec::new();
+        if let Role::Leader(leader) = &self.role {
+            for (identity, progress) in &leader.progress {
+                contacts.push((*identity, progress.contact));
+            }
+        }
+        contacts
+    }
+
     /// Returns whether this replica has never voted, seen a term or stored an entry.
     #[must_use]
     pub fn is_blank(&self) -> bool {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -12,11 +12,13 @@
 mod machine;
 mod progress;
 mod reads;
+mod repair;
 mod types;
 
 pub use {
     entry_log::EntryLog,
     machine::{LogMachine, RestoredLog},
+    repair::{MemberContact, RepairReason, RepairStep, WaitingReplica, next_repair},
     types::{
         AppliedEntry, EntryPayload, HardState, LogEntry, LogInput, LogOutput, LogProposal,
         MemberChange, MemberRecord, MemberSet, MessageBody, PeerMessage, RejectReason,
--- /dev/null
+++ b/crates/core/src/directory/mod.rs
@@ -0,0 +1,26 @@
+//! Replicated directory: operators' routes, the targets and entries that describe themselves, and
+//! changes of primary.
+//!
+//! It serves database groups whose servers fence themselves: a server that has lost the lead refuses
+//! writes, so the directory hands out no leases. Groups that need leases use [`crate::cluster`].
+
+mod command;
+mod failover;
+mod routes;
+mod state;
+mod targets;
+mod update;
+
+pub use {
+    command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
+    failover::{
+        CandidateAnswer, ENTRY_PATIENCE, PrimaryEvidence, PrimaryVerdict, choose_candidate,
+    },
+    routes::{GroupRule, ReadRule, RouteBook, RouteDraft, RouteFault, RouteLimits, RouteRule},
+    state::{
+        DirectoryItem, DirectorySet, DirectoryState, GroupRecord, ProcessHost, ProcessKind,
+        PromotionRecord,
+    },
+    targets::{DepartedTarget, ReportOrder, TargetReport, TargetState},
+    update::{DirectoryUpdate, GroupView},
+};
--- /dev/null
+++ b/crates/core/src/directory/update.rs
@@ -0,0 +1,128 @@
+//! What followers of the directory are told.
+
+use {
+    super::{
+        routes::{GroupRule, RouteLimits, RouteRule},
+        state::{DirectoryItem, DirectorySet, DirectoryState, ProcessHost},
+        targets::TargetReport,
+    },
+    crate::{change::ChangeSet, names::SharedName},
+};
+
+/// Primary of a group as followers see it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GroupView {
+    /// Group.
+    pub group: SharedName,
+    /// Target that last became primary.
+    pub primary: Option<SharedName>,
+    /// Whether a change of primary is under way.
+    pub changing: bool,
+}
+
+/// Part of the directory that changed, or all of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryUpdate {
+    /// Whether everything that the follower holds is replaced.
+    pub reset: bool,
+    /// Version of the directory after the update.
+    pub version: u64,
+    /// Version of the routes.
+    pub book_version: u64,
+    /// Limits of the routes.
+    pub limits: RouteLimits,
+    /// Routes that are new or changed.
+    pub routes: Vec<RouteRule>,
+    /// Databases without a route.
+    pub removed_routes: Vec<SharedName>,
+    /// Rules of groups that are new or changed.
+    pub rules: Vec<GroupRule>,
+    /// Groups without a rule.
+    pub removed_rules: Vec<SharedName>,
+    /// Targets that are new or changed.
+    pub targets: Vec<TargetReport>,
+    /// Targets that left.
+    pub removed_targets: Vec<SharedName>,
+    /// Groups whose primary is new or changed.
+    pub groups: Vec<GroupView>,
+    /// Entries that are new or changed.
+    pub entries: Vec<ProcessHost>,
+    /// Entries that are gone.
+    pub removed_entries: Vec<SharedName>,
+    /// Control replicas that are new or changed.
+    pub controls: Vec<ProcessHost>,
+    /// Control replicas that are gone.
+    pub removed_controls: Vec<SharedName>,
+}
+
+impl DirectoryState {
+    /// Returns what a follower that holds the version `since` lacks; `None` if it lacks nothing that
+    /// this replica knows.
+    #[must_use]
+    pub fn update_since(&self, since: u64) -> Option<DirectoryUpdate> {
+        let mut update = DirectoryUpdate {
+            version: self.version(),
+            book_version: self.book().version,
+            limits: self.book().limits,
+            ..DirectoryUpdate::default()
+        };
+        match self.changes_since(since) {
+            DirectorySet::Unchanged | DirectorySet::Ahead => return None,
+            ChangeSet::Reset => self.add_all(&mut update),
+            ChangeSet::Items(items) => {
+                for item in items {
+                    self.add_item(item, &mut update);
+                }
+            }
+        }
+        Some(update)
+    }
+
+    fn add_all(&self, update: &mut DirectoryUpdate) {
+        update.reset = true;
+        update.routes = self.book().routes.values().cloned().collect();
+        update.rules = self.book().groups.values().cloned().collect();
+        update.targets = self.targets().values().cloned().collect();
+        update.entries = self.entries().values().cloned().collect();
+        update.controls = self.controls().values().cloned().collect();
+        for group in self.groups().keys() {
+            update.groups.push(self.group_view(group));
+        }
+    }
+
+    fn add_item(&self, item: DirectoryItem, update: &mut DirectoryUpdate) {
+        match item {
+            DirectoryItem::Book => {}
+            DirectoryItem::Route(name) => match self.book().routes.get(&name) {
+                Some(rule) => update.routes.push(rule.clone()),
+                None => update.removed_routes.push(name),
+            },
+            DirectoryItem::Rule(name) => match self.book().groups.get(&name) {
+                Some(rule) => update.rules.push(rule.clone()),
+                None => update.removed_rules.push(name),
+            },
+            DirectoryItem::Target(name) => match self.targets().get(&name) {
+                Some(report) => update.targets.push(report.clone()),
+                None => update.removed_targets.push(name),
+            },
+            DirectoryItem::Group(name) => update.groups.push(self.group_view(&name)),
+            DirectoryItem::Entry(name) => match self.entries().get(&name) {
+                Some(entry) => update.entries.push(entry.clone()),
+                None => update.removed_entries.push(name),
+            },
+            DirectoryItem::Control(name) => match self.controls().get(&name) {
+                Some(control) => update.controls.push(control.clone()),
+                None => update.removed_controls.push(name),
+            },
+        }
+    }
+
+    fn group_view(&self, group: &SharedName) -> GroupView {
+        let record = self.groups().get(group).cloned().unwrap_or_default();
+        GroupView {
+            group: group.clone(),
+            primary: record.primary,
+            changing: record.promotion.is_some(),
+        }
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -73,6 +73,10 @@
     CertificateReloaded = 5, "certificate reloaded";
     /// Changed key or certificate files are not valid; the pair in force stays.
     CertificateInvalid = 6, "certificate invalid";
+    /// Log lines were dropped because the writer fell behind.
+    LinesDropped = 7, "log lines dropped";
+    /// A process read its settings again.
+    SettingsReloaded = 8, "settings reloaded";
     /// A control replica became leader.
     LeaderElected = 101, "control leader elected";
     /// A control leader stepped down.
@@ -83,6 +87,10 @@
     SnapshotInstalled = 104, "snapshot installed";
     /// The set of control replicas changed.
     MembersChanged = 105, "control members changed";
+    /// A replica asked to be taken into the set of control replicas.
+    JoinRequested = 106, "control replica asks to join";
+    /// The leader decided to change the set of control replicas.
+    RepairDecided = 107, "control members repaired";
     /// A sheet was accepted.
     SheetAccepted = 201, "sheet accepted";
     /// A sheet was refused because its number is taken by other content.
@@ -91,6 +99,16 @@
     SheetApplied = 203, "sheet applied";
     /// A sheet was refused because it changes rows that are not in the operator's scope.
     SheetOutOfScope = 204, "sheet out of scope";
+    /// A set of routes was accepted.
+    RoutesAccepted = 205, "routes accepted";
+    /// A set of routes changed nothing, since its version is not above the one in force.
+    RoutesOutdated = 206, "routes not newer";
+    /// A set of routes was refused as invalid.
+    RoutesInvalid = 207, "routes invalid";
+    /// An entry applied routes, targets or primaries of the directory.
+    DirectoryApplied = 208, "directory applied";
+    /// A request of an operator or a target was not answered with certainty.
+    DirectoryUnavailable = 209, "directory unavailable";
     /// An entry joined.
     EntryJoined = 301, "entry joined";
     /// An entry's node lease ran out.
@@ -101,6 +119,12 @@
     TargetLeaving = 304, "target leaving";
     /// A broker was assigned to a target.
     BrokerAssigned = 305, "broker assigned";
+    /// A report changed what the directory holds of a target.
+    TargetRecorded = 306, "target recorded";
+    /// A target left the directory.
+    TargetRemoved = 307, "target removed";
+    /// A report of a target was skipped as malformed or outdated.
+    ReportSkipped = 308, "target report skipped";
     /// A target became unreachable for its broker.
     TargetUnreachable = 401, "target unreachable";
     /// A target became reachable again.
@@ -115,6 +139,14 @@
     PrimaryPromoted = 406, "primary promoted";
     /// A broker acknowledged the first write of a term.
     FirstWrite = 407, "first write of the term acknowledged";
+    /// The leader judged a primary lost, leaving or still serving.
+    PrimaryJudged = 408, "primary judged";
+    /// A promotion of a group began.
+    PromotionBegun = 409, "promotion begun";
+    /// The platform answered an order to promote.
+    PromotionOrdered = 410, "promotion ordered";
+    /// A promotion ended.
+    PromotionEnded = 411, "promotion ended";
     /// An entry holds a node lease.
     LeaseGained = 501, "node lease gained";
     /// An entry lost its node lease.
@@ -125,6 +157,22 @@
     BrokerClosed = 504, "broker closed";
     /// A connection in an unknown protocol state was closed.
     ConnectionDiscarded = 505, "connection discarded";
+    /// An entry follows a control replica.
+    ControlFollowed = 506, "control followed";
+    /// An entry lost the control replica that it followed.
+    ControlLost = 507, "control lost";
+    /// A statement of a caller ended.
+    StatementEnded = 601, "statement ended";
+    /// An attempt to run a statement failed and another one follows.
+    AttemptFailed = 602, "attempt failed";
+    /// A transaction ended.
+    TransactionEnded = 603, "transaction ended";
+    /// A session was refused.
+    SessionRefused = 604, "session refused";
+    /// A session ended other than by its caller.
+    SessionEnded = 605, "session ended";
+    /// A read was sent to a second target because the first one is silent.
+    ReadHedged = 606, "read hedged";
 }
 
 impl EventNumber {
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -68,6 +68,12 @@
     RunTimeout,
     /// The transaction was rolled back because its connection was lost before commit.
     TransactionLost,
+    /// The session has no prepared statement of that name.
+    UnknownStatement,
+    /// The caller's message is larger than accepted.
+    MessageTooLarge,
+    /// The target ran the statement and reported a failure.
+    TargetFailed,
 }
 
 /// Answer that a caller gets for a failure kind.
@@ -94,7 +100,7 @@
 
 impl FailureKind {
     /// Every kind, in the order of the table in `docs/errors.md`.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 29] = [
         Self::NoLease,
         Self::Draining,
         Self::NoSheet,
@@ -121,6 +127,9 @@
         Self::UnconfirmedCommit,
         Self::RunTimeout,
         Self::TransactionLost,
+        Self::UnknownStatement,
+        Self::MessageTooLarge,
+        Self::TargetFailed,
     ];
 
     /// Returns the answer that a caller gets.
@@ -207,6 +216,13 @@
                 "the connection to the target was lost before commit; rolled back",
                 100,
             ),
+            Self::UnknownStatement => {
+                answer(NotRun, "26000", "no prepared statement of that name; not run", 0)
+            }
+            Self::MessageTooLarge => {
+                answer(NotRun, "54000", "the message is too large; not run", 0)
+            }
+            Self::TargetFailed => answer(RanFailed, "58000", "the target reported a failure", 0),
         }
     }
 
@@ -240,6 +256,9 @@
             Self::UnconfirmedCommit => "unconfirmed-commit",
             Self::RunTimeout => "run-timeout",
             Self::TransactionLost => "transaction-lost",
+            Self::UnknownStatement => "unknown-statement",
+            Self::MessageTooLarge => "message-too-large",
+            Self::TargetFailed => "target-failed",
         }
     }
 
--- /dev/null
+++ b/crates/core/src/gateway/table.rs
@@ -0,0 +1,153 @@
+//! Routes, targets and primaries as an entry holds them.
+
+use {
+    crate::{
+        collections::FastMap,
+        directory::{
+            DirectoryUpdate, GroupRule, GroupView, ProcessHost, RouteLimits, RouteRule,
+            TargetReport, TargetState,
+        },
+        names::SharedName,
+        route::TargetRole,
+    },
+    std::sync::Arc,
+};
+
+/// One group with its targets.
+#[derive(Clone, Debug, Default)]
+pub struct GroupRoute {
+    /// Rule of the group; a group without one serves no route.
+    pub rule: Option<GroupRule>,
+    /// Targets in the order of their names.
+    pub targets: Vec<Arc<TargetReport>>,
+    /// Target that last became primary.
+    pub primary: Option<SharedName>,
+    /// Whether a change of primary is under way.
+    pub changing: bool,
+}
+
+impl GroupRoute {
+    /// Returns a target.
+    #[must_use]
+    pub fn target(&self, name: &str) -> Option<&Arc<TargetReport>> {
+        self.targets.iter().find(|report| *report.target == *name)
+    }
+
+    /// Returns the targets that may lead, the most likely one first.
+    ///
+    /// A target that leads by its own account comes after the one that the directory names: its report
+    /// may be older than the promotion of another one, and only one of them accepts writes.
+    #[must_use]
+    pub fn leaders(&self) -> Vec<&Arc<TargetReport>> {
+        let mut leaders = Vec::new();
+        if let Some(report) = self.primary.as_deref().and_then(|name| self.target(name)) {
+            leaders.push(report);
+        }
+        for report in &self.targets {
+            if report.role == TargetRole::Primary && self.primary.as_ref() != Some(&report.target) {
+                leaders.push(report);
+            }
+        }
+        leaders
+    }
+
+    /// Returns the targets that take reads.
+    pub fn readable(&self) -> impl Iterator<Item = &Arc<TargetReport>> {
+        self.targets.iter().filter(|report| report.state == TargetState::Ready)
+    }
+}
+
+/// Routes, targets and primaries of one version of the directory.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingTable {
+    /// Version of the directory.
+    pub version: u64,
+    /// Version of the routes; 0 before the first.
+    pub book_version: u64,
+    /// Limits of the routes.
+    pub limits: RouteLimits,
+    /// Routes by database.
+    pub routes: FastMap<SharedName, Arc<RouteRule>>,
+    /// Groups by name.
+    pub groups: FastMap<SharedName, Arc<GroupRoute>>,
+    /// Entries by host.
+    pub entries: FastMap<SharedName, ProcessHost>,
+    /// Control replicas by host.
+    pub controls: FastMap<SharedName, ProcessHost>,
+}
+
+impl RoutingTable {
+    /// Returns the table after an update; an update that is not newer changes nothing.
+    ///
+    /// A control replica that is behind must not take an entry back to older routes.
+    #[must_use]
+    pub fn updated(&self, update: DirectoryUpdate) -> Option<Self> {
+        if update.version <= self.version {
+            return None;
+        }
+        let mut table = if update.reset { Self::default() } else { self.clone() };
+        table.version = update.version;
+        table.book_version = update.book_version;
+        table.limits = update.limits;
+        for rule in update.routes {
+            table.routes.insert(rule.database.clone(), Arc::new(rule));
+        }
+        for database in update.removed_routes {
+            table.routes.remove(&database);
+        }
+        for rule in update.rules {
+            let group = rule.group.clone();
+            table.change_group(group, |route| route.rule = Some(rule));
+        }
+        for group in update.removed_rules {
+            table.change_group(group, |route| route.rule = None);
+        }
+        for name in update.removed_targets {
+            table.remove_target(&name);
+        }
+        for report in update.targets {
+            table.remove_target(&report.target);
+            table.change_group(report.group.clone(), |route| {
+                let place = route.targets.partition_point(|known| known.target < report.target);
+                route.targets.insert(place, Arc::new(report));
+            });
+        }
+        for GroupView { group, primary, changing } in update.groups {
+            table.change_group(group, |route| {
+                route.primary = primary;
+                route.changing = changing;
+            });
+        }
+        change_hosts(&mut table.entries, update.entries, &update.removed_entries);
+        change_hosts(&mut table.controls, update.controls, &update.removed_controls);
+        Some(table)
+    }
+
+    fn change_group<F>(&mut self, group: SharedName, change: F)
+    where
+        F: FnOnce(&mut GroupRoute),
+    {
+        change(Arc::make_mut(self.groups.entry(group).or_default()));
+    }
+
+    fn remove_target(&mut self, name: &SharedName) {
+        for route in self.groups.values_mut() {
+            if route.target(name).is_some() {
+                Arc::make_mut(route).targets.retain(|report| report.target != *name);
+            }
+        }
+    }
+}
+
+fn change_hosts(
+    hosts: &mut FastMap<SharedName, ProcessHost>,
+    added: Vec<ProcessHost>,
+    removed: &[SharedName],
+) {
+    for host in removed {
+        hosts.remove(host);
+    }
+    for process in added {
+        hosts.insert(process.host.clone(), process);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,16 @@
 //! that tests drive every machine on virtual time.
 
 pub mod broker;
+pub mod change;
 pub mod cluster;
 pub mod collections;
 pub mod consensus;
 pub mod detector;
+pub mod directory;
 pub mod event;
 pub mod failure;
 pub mod floor;
+pub mod gateway;
 pub mod machine;
 pub mod names;
 pub mod position;
@@ -19,5 +22,7 @@
 pub mod retry;
 pub mod route;
 pub mod sheet;
+#[cfg(feature = "sql")]
 pub mod statement;
 pub mod time;
+pub mod transaction;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -15,11 +15,12 @@
         position::{LogPosition, LogTerm},
         sheet::RuleSheet,
     },
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
 /// Role of a target in its database group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetRole {
     /// Accepts writes under its term.
     Primary,
--- /dev/null
+++ b/crates/directory/src/leader.rs
@@ -0,0 +1,109 @@
+//! Requests that a replica passes on to the leader.
+
+use {
+    crate::node::DirectoryError,
+    banyansill_core::directory::DirectoryReply,
+    banyansill_wire::directory_v1::{self as v1, directory_client::DirectoryClient},
+    bytes::Bytes,
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tonic::{
+        Status,
+        transport::{Channel, Endpoint},
+    },
+};
+
+/// Time for the connection to the leader.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for one request to the leader; the sender's own limit is longer.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Interval of pings, also while nothing is asked: a path that went silent must not cost a request.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which an unanswered ping ends the connection.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest message: a set of routes.
+const MESSAGE_BYTES: usize = 16 << 20;
+
+/// Connection to the present leader; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaderLink {
+    connection: Arc<Mutex<Option<(String, Channel)>>>,
+}
+
+impl LeaderLink {
+    pub(crate) async fn submit(
+        &self,
+        leader: &str,
+        command: Vec<u8>,
+    ) -> Result<DirectoryReply, DirectoryError> {
+        let request = v1::SubmitRequest { command: Bytes::from(command) };
+        let mut client = self.client(leader)?;
+        let reply = client.submit(request).await.map_err(|status| self.failed(&status))?;
+        Ok(DirectoryReply::decode(&reply.into_inner().reply)?)
+    }
+
+    pub(crate) async fn read(&self, leader: &str) -> Result<(u64, String), DirectoryError> {
+        let mut client = self.client(leader)?;
+        let reply = client.read(v1::ReadRequest {}).await.map_err(|status| self.failed(&status))?;
+        let reply = reply.into_inner();
+        Ok((reply.version, reply.document))
+    }
+
+    pub(crate) async fn report_reach(
+        &self,
+        leader: &str,
+        request: v1::ReachRequest,
+    ) -> Result<(), DirectoryError> {
+        let mut client = self.client(leader)?;
+        client.report_reach(request).await.map_err(|status| self.failed(&status))?;
+        Ok(())
+    }
+
+    pub(crate) async fn join(
+        &self,
+        address: &str,
+        request: v1::JoinRequest,
+    ) -> Result<v1::JoinReply, DirectoryError> {
+        let mut client = self.client(address)?;
+        let reply = client.join(request).await.map_err(|status| self.failed(&status))?;
+        Ok(reply.into_inner())
+    }
+
+    fn client(&self, leader: &str) -> Result<DirectoryClient<Channel>, DirectoryError> {
+        let mut connection = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
+        let channel = match &*connection {
+            Some((address, channel)) if address == leader => channel.clone(),
+            _ => {
+                let channel = connect(leader)
+                    .map_err(|error| DirectoryError::Unavailable(error.to_string()))?;
+                *connection = Some((leader.to_owned(), channel.clone()));
+                channel
+            }
+        };
+        Ok(DirectoryClient::new(channel)
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES))
+    }
+
+    /// Forgets the connection after a failure, so that the next request opens a new one.
+    fn failed(&self, status: &Status) -> DirectoryError {
+        *self.connection.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        DirectoryError::Unavailable(format!("leader: {status}"))
+    }
+}
+
+fn connect(address: &str) -> Result<Channel, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .timeout(REQUEST_TIMEOUT)
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .tcp_nodelay(true);
+    Ok(endpoint.connect_lazy())
+}
--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,21 @@
+//! Control of groups whose servers fence themselves: the replicated directory, its followers, changes
+//! of primary, and a set of replicas that founds and repairs itself.
+
+mod follow;
+mod join;
+mod leader;
+mod node;
+mod probe;
+mod process;
+mod promotion;
+mod reach;
+mod service;
+mod settings;
+mod supervisor;
+
+pub use {
+    node::{DirectoryError, DirectoryNode, RoutesOutcome},
+    process::{DirectoryHandle, SpawnError, spawn},
+    promotion::{PromotionOrder, PromotionPort, PromotionReply},
+    settings::DirectorySettings,
+};
--- /dev/null
+++ b/crates/directory/src/service.rs
@@ -0,0 +1,119 @@
+//! The tonic service of a replica.
+
+use {
+    crate::{
+        follow::{FOLLOW_DEPTH, FollowStream},
+        join::JoinBook,
+        node::{DirectoryError, DirectoryNode},
+        reach::ReachTable,
+    },
+    banyansill_core::{
+        consensus::{ReplicaIdentity, WaitingReplica},
+        directory::DirectoryState,
+    },
+    banyansill_replica::{
+        command_log::{CommandLog, LogError},
+        replica::ReplicaHandle,
+    },
+    banyansill_wire::directory_v1::{self as v1, directory_server::Directory},
+    bytes::Bytes,
+    tokio::sync::{mpsc, watch},
+    tokio_stream::wrappers::ReceiverStream,
+    tonic::{Request, Response, Status, Streaming},
+};
+
+/// The tonic service of a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct DirectoryService {
+    pub(crate) node: DirectoryNode<ReplicaHandle<DirectoryState>>,
+    /// Entries that follow this replica.
+    pub(crate) followers: ReachTable,
+    /// All entries, as far as this replica leads.
+    pub(crate) reach: ReachTable,
+    pub(crate) joins: JoinBook,
+    pub(crate) stopping: watch::Receiver<bool>,
+}
+
+fn unavailable(error: LogError) -> Status {
+    Status::unavailable(error.to_string())
+}
+
+#[tonic::async_trait]
+impl Directory for DirectoryService {
+    type FollowStream = ReceiverStream<Result<v1::FollowReply, Status>>;
+
+    async fn submit(
+        &self,
+        request: Request<v1::SubmitRequest>,
+    ) -> Result<Response<v1::SubmitReply>, Status> {
+        let command = request.into_inner().command.to_vec();
+        let reply = self.node.propose_here(command).await.map_err(unavailable)?;
+        Ok(Response::new(v1::SubmitReply { reply: Bytes::from(reply.encode()) }))
+    }
+
+    async fn read(
+        &self,
+        _request: Request<v1::ReadRequest>,
+    ) -> Result<Response<v1::ReadReply>, Status> {
+        let (version, document) = self.node.read_here().await.map_err(unavailable)?;
+        Ok(Response::new(v1::ReadReply { version, document }))
+    }
+
+    async fn follow(
+        &self,
+        request: Request<Streaming<v1::FollowRequest>>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let (replies, receiver) = mpsc::channel(FOLLOW_DEPTH);
+        let stream = FollowStream {
+            node: self.node.clone(),
+            followers: self.followers.clone(),
+            replies,
+            stopping: self.stopping.clone(),
+        };
+        tokio::spawn(stream.run(request.into_inner()));
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn report_reach(
+        &self,
+        request: Request<v1::ReachRequest>,
+    ) -> Result<Response<v1::ReachReply>, Status> {
+        let now = self.node.clock.now();
+        for report in request.into_inner().entries {
+            self.reach.record(report, now);
+        }
+        Ok(Response::new(v1::ReachReply {}))
+    }
+
+    async fn join(
+        &self,
+        request: Request<v1::JoinRequest>,
+    ) -> Result<Response<v1::JoinReply>, Status> {
+        let request = request.into_inner();
+        let status = self.node.log.status().borrow().clone();
+        if !status.leading {
+            let Some(leader) = status.leader else {
+                return Err(Status::unavailable("no leader is known"));
+            };
+            let reply = self.node.leader.join(&leader, request).await;
+            return reply
+                .map(Response::new)
+                .map_err(|error: DirectoryError| Status::unavailable(error.to_string()));
+        }
+        let identity = ReplicaIdentity(request.identity);
+        let mut reply = v1::JoinReply::default();
+        for member in self.node.log.members().await.map_err(unavailable)? {
+            reply.member |= member.record.identity == identity && member.record.voter;
+            reply.members.push(member.record.address.to_string());
+        }
+        if !reply.member {
+            let waiting = WaitingReplica {
+                host: request.host.into(),
+                address: request.address.into(),
+                identity,
+            };
+            self.joins.record(waiting, self.node.clock.now());
+        }
+        Ok(Response::new(reply))
+    }
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -4,6 +4,8 @@
 //! behind a tonic stream, owns the other. Both directions are bounded, so a slow reader stops the
 //! writer and large answers need bounded memory.
 
+pub use banyansill_core::transaction::TransactionStatus;
+
 use {
     banyansill_core::{
         failure::FailureKind, names::SharedName, position::LogPosition, time::Micros,
@@ -74,17 +76,6 @@
     Release,
 }
 
-/// Transaction status at ReadyForQuery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TransactionStatus {
-    /// Outside a transaction.
-    Idle,
-    /// Inside a transaction.
-    InTransaction,
-    /// Inside a failed transaction.
-    Failed,
-}
-
 /// Failure as a broker reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LinkFailure {
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,372 @@
+//! What the sessions of a gateway share: pools, freshness of the groups and the routing table.
+
+use {
+    crate::{
+        pool::{LeaseFailure, LeaseWish, SessionValues, TargetLease, TargetPool},
+        relay::RelayClients,
+        settings::ZoneMap,
+    },
+    banyansill_core::{
+        collections::FastMap,
+        directory::{ProcessHost, TargetReport},
+        failure::FailureKind,
+        gateway::{
+            ConnectionShare, FreshnessLog, FreshnessMark, GroupRoute, ReadCandidate, RoutingTable,
+            connection_share,
+        },
+        names::SharedName,
+        position::LogPosition,
+        retry::RetryBudget,
+        time::Micros,
+    },
+    banyansill_runtime::clock::MonotonicClock,
+    banyansill_target::StatementProtocol,
+    cadence::{CountedExt, StatsdClient, Timed},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// Interval at which unused connections are looked for.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Wait before the same leader is asked again after it refused as a replica.
+const LEADER_RETRY: Duration = Duration::from_millis(40);
+
+/// Connections allowed per target while no rule names a number.
+const DEFAULT_CONNECTIONS: u32 = 20;
+
+/// What a gateway sees of a target; `failing_since` is empty when it answers again.
+#[derive(Clone, Debug)]
+pub(crate) struct ReachNote {
+    pub(crate) group: SharedName,
+    pub(crate) target: SharedName,
+    pub(crate) failing_since: Option<Micros>,
+}
+
+/// What pools and sessions need of the process.
+#[derive(Debug)]
+pub(crate) struct GatewayCore<P> {
+    pub(crate) own: ProcessHost,
+    pub(crate) protocol: P,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) relay: RelayClients,
+    pub(crate) notes: mpsc::UnboundedSender<ReachNote>,
+    pub(crate) metrics: StatsdClient,
+    pub(crate) freshness: RefCell<FastMap<SharedName, Rc<GroupFreshness>>>,
+}
+
+impl<P> GatewayCore<P> {
+    /// Returns the freshness of a group.
+    pub(crate) fn freshness(&self, group: &SharedName) -> Rc<GroupFreshness> {
+        if let Some(known) = self.freshness.borrow().get(group) {
+            return Rc::clone(known);
+        }
+        let fresh: Rc<GroupFreshness> = Rc::default();
+        self.freshness.borrow_mut().insert(group.clone(), Rc::clone(&fresh));
+        fresh
+    }
+
+    /// Adds one to a counter.
+    pub(crate) fn count(&self, name: &str) {
+        // The board cannot fail.
+        let _ = self.metrics.incr(name);
+    }
+
+    /// Adds a time to a histogram.
+    pub(crate) fn time(&self, name: &str, span: Micros) {
+        let _ = self.metrics.time(name, span.as_millis());
+    }
+
+    pub(crate) fn note_reach(
+        &self,
+        group: &SharedName,
+        target: &SharedName,
+        failing_since: Option<Micros>,
+    ) {
+        let note = ReachNote { group: group.clone(), target: target.clone(), failing_since };
+        // The receiver ends with the process.
+        let _ = self.notes.send(note);
+    }
+}
+
+/// Freshness of one group.
+#[derive(Debug, Default)]
+pub(crate) struct GroupFreshness {
+    log: RefCell<FreshnessLog>,
+    /// When a read last needed a mark.
+    wanted: Cell<Micros>,
+}
+
+impl GroupFreshness {
+    /// Returns the lowest position that covers what was acknowledged more than `max_age` ago.
+    pub(crate) fn floor(&self, now: Micros, max_age: Micros) -> Option<LogPosition> {
+        self.wanted.set(now);
+        self.log.borrow().floor(now, max_age)
+    }
+
+    /// Learns from an answer that proves that its sender led.
+    pub(crate) fn record(&self, asked: Micros, position: Option<LogPosition>) {
+        if let Some(position) = position {
+            self.log.borrow_mut().record(FreshnessMark { asked, position });
+        }
+    }
+
+    /// Returns the newest mark's time and the time of the last read that needed one.
+    pub(crate) fn ages(&self) -> (Option<Micros>, Micros) {
+        (self.log.borrow().newest().map(|mark| mark.asked), self.wanted.get())
+    }
+}
+
+/// State of a gateway's thread.
+#[derive(Debug)]
+pub(crate) struct Gateway<P>
+where
+    P: StatementProtocol,
+{
+    pub(crate) core: Rc<GatewayCore<P>>,
+    zones: ZoneMap,
+    table: watch::Receiver<Arc<RoutingTable>>,
+    pools: RefCell<FastMap<SharedName, Rc<TargetPool<P>>>>,
+    retries: Cell<RetryBudget>,
+}
+
+impl<P> Gateway<P>
+where
+    P: StatementProtocol,
+{
+    pub(crate) fn new(
+        core: GatewayCore<P>,
+        zones: ZoneMap,
+        table: watch::Receiver<Arc<RoutingTable>>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            core: Rc::new(core),
+            zones,
+            table,
+            pools: RefCell::default(),
+            retries: Cell::new(RetryBudget::default()),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Micros {
+        self.core.clock.now()
+    }
+
+    /// Returns the routes, targets and primaries in force.
+    pub(crate) fn table(&self) -> Arc<RoutingTable> {
+        self.table.borrow().clone()
+    }
+
+    /// Follows the table and looks after the pools until the process ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let mut table = self.table.clone();
+        loop {
+            match timeout(UPKEEP_INTERVAL, table.changed()).await {
+                Ok(Ok(())) => {
+                    let table = table.borrow_and_update().clone();
+                    self.apply(&table);
+                }
+                Ok(Err(_)) => return,
+                Err(_) => {
+                    for pool in self.all_pools() {
+                        pool.close_unused();
+                    }
+                }
+            }
+        }
+    }
+
+    fn all_pools(&self) -> Vec<Rc<TargetPool<P>>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    fn apply(&self, table: &RoutingTable) {
+        for pool in self.all_pools() {
+            let route = table.groups.get(&pool.group);
+            let report = route.and_then(|route| route.target(&pool.target));
+            match (route, report) {
+                (Some(route), Some(report)) => {
+                    let share = self.share(table, route, report);
+                    pool.update(report, share, route.primary.as_ref() == Some(&report.target));
+                }
+                _ => {
+                    let gone = self.pools.borrow_mut().remove(&pool.target);
+                    if let Some(gone) = gone {
+                        gone.retire();
+                    }
+                }
+            }
+        }
+    }
+
+    fn share(
+        &self,
+        table: &RoutingTable,
+        route: &GroupRoute,
+        report: &TargetReport,
+    ) -> ConnectionShare {
+        let connections = route.rule.as_ref().map_or(DEFAULT_CONNECTIONS, |rule| rule.connections);
+        let mut entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
+        entries.sort_by(|left, right| left.host.cmp(&right.host));
+        connection_share(&self.core.own, &report.target, &report.zone, connections, &entries)
+    }
+
+    /// Returns the pool of a target.
+    pub(crate) fn pool(
+        &self,
+        table: &RoutingTable,
+        route: &GroupRoute,
+        report: &TargetReport,
+    ) -> Rc<TargetPool<P>> {
+        if let Some(pool) = self.pools.borrow().get(&report.target) {
+            return Rc::clone(pool);
+        }
+        let share = self.share(table, route, report);
+        let leads = route.primary.as_ref() == Some(&report.target);
+        let pool = TargetPool::new(Rc::clone(&self.core), report, share, leads);
+        self.pools.borrow_mut().insert(report.target.clone(), Rc::clone(&pool));
+        pool
+    }
+
+    /// Returns the newest known position of a group's primary and its age in microseconds.
+    pub(crate) fn newest_mark(&self, group: &SharedName) -> (Option<LogPosition>, u64) {
+        let now = self.now();
+        match self.core.freshness(group).log.borrow().newest() {
+            Some(mark) => (Some(mark.position), now.since(mark.asked).0),
+            None => (None, 0),
+        }
+    }
+
+    /// Returns the targets that may serve reads of a group, with what is known of them.
+    pub(crate) fn read_candidates(
+        &self,
+        table: &RoutingTable,
+        route: &GroupRoute,
+    ) -> (Vec<Rc<TargetPool<P>>>, Vec<ReadCandidate>) {
+        let mut pools = Vec::new();
+        let mut candidates = Vec::new();
+        for report in route.readable() {
+            let pool = self.pool(table, route, report);
+            let health = pool.health();
+            let (in_flight, capacity) = pool.load();
+            candidates.push(ReadCandidate {
+                index: pools.len(),
+                distance: self.zones.distance(&report.zone),
+                primary: route.primary.as_ref() == Some(&report.target),
+                latency: health.latency(),
+                in_flight,
+                capacity,
+                errors: health.errors(),
+                reachable: pool.is_open(),
+                position: pool.recent_position(),
+            });
+            pools.push(pool);
+        }
+        (pools, candidates)
+    }
+
+    /// Returns the pool of the target that most likely leads a group, except those in `refused`.
+    pub(crate) fn leader(
+        &self,
+        table: &RoutingTable,
+        group: &str,
+        refused: &[SharedName],
+    ) -> Option<Rc<TargetPool<P>>> {
+        let route = table.groups.get(group)?;
+        for report in route.leaders() {
+            if refused.contains(&report.target) {
+                continue;
+            }
+            let pool = self.pool(table, route, report);
+            if pool.is_open() {
+                return Some(pool);
+            }
+        }
+        None
+    }
+
+    /// Waits a moment for news of a group's primary, at most until `deadline`.
+    ///
+    /// Returns false if no time is left.
+    pub(crate) async fn wait_for_leader(&self, deadline: Micros) -> bool {
+        let left = deadline.since(self.now()).as_duration();
+        if left.is_zero() {
+            return false;
+        }
+        let mut table = self.table.clone();
+        table.mark_unchanged();
+        let _ = timeout(LEADER_RETRY.min(left), table.changed()).await;
+        true
+    }
+
+    /// Waits for a moment, at most until `deadline`; returns false if no time is left.
+    pub(crate) async fn pause(&self, pause: Duration, deadline: Micros) -> bool {
+        let left = deadline.since(self.now()).as_duration();
+        if left <= pause {
+            return false;
+        }
+        sleep(pause).await;
+        true
+    }
+
+    /// Counts a statement that earns a part of a retry.
+    pub(crate) fn earn_retry(&self) {
+        let mut budget = self.retries.get();
+        budget.record_attempt();
+        self.retries.set(budget);
+    }
+
+    /// Takes a retry out of the budget; returns whether there was one.
+    pub(crate) fn take_retry(&self) -> bool {
+        let mut budget = self.retries.get();
+        let allowed = budget.try_retry();
+        self.retries.set(budget);
+        allowed
+    }
+
+    /// Learns the position of a group's primary with a transaction that does nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no target proved that it leads.
+    pub(crate) async fn refresh_mark(
+        &self,
+        group: &SharedName,
+        limit: Micros,
+    ) -> Result<(), FailureKind> {
+        let table = self.table();
+        let leader = self.leader(&table, group, &[]).ok_or(FailureKind::NoPrimary)?;
+        let wish = LeaseWish {
+            database: group,
+            priority: 0,
+            deadline: self.now() + limit,
+            values: &SessionValues::new(),
+            trusted_idle: Micros(u64::MAX),
+        };
+        let lease = leader.lease(&wish).await;
+        let mut lease: TargetLease<P> = lease.map_err(|failure: LeaseFailure| failure.kind)?;
+        let asked = self.now();
+        let begun = timeout(limit.as_duration(), lease.begin(false, None)).await;
+        lease.forget_time();
+        match begun {
+            Ok(Ok(answer)) => {
+                self.core.freshness(group).record(asked, answer.position);
+                lease.roll_back();
+                Ok(())
+            }
+            Ok(Err(_)) => Err(FailureKind::NoPrimary),
+            Err(_) => {
+                leader.note_lost(asked, "no answer to a probe of the primary");
+                Err(FailureKind::Unreachable)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool/target.rs
@@ -0,0 +1,511 @@
+//! Pool of the connections to one target.
+
+use {
+    super::{
+        connection::{PooledConnection, SessionValues},
+        lease::TargetLease,
+        opening::{self, OpenFailure, OpenPlan},
+    },
+    crate::gateway::GatewayCore,
+    banyansill_core::{
+        collections::FastMap,
+        directory::{TargetReport, TargetState},
+        event::EventNumber,
+        failure::FailureKind,
+        gateway::{ConnectionShare, HealthChange, TargetError, TargetHealth},
+        names::SharedName,
+        position::LogPosition,
+        queue::{QueueRefusal, QueueRules, SlotQueue, SlotRequest, SlotTicket},
+        time::Micros,
+    },
+    banyansill_target::{StatementAnswer, StatementProtocol},
+    std::{cell::RefCell, rc::Rc},
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// Leases that an entry asks of other entries at a time; those queue by their own connections.
+const RELAYED_SLOTS: u32 = 8;
+
+/// Time for which a position says how far a replica has come; replicas apply within milliseconds.
+const POSITION_LIFE: Micros = Micros::from_millis(100);
+
+/// Idle time after which a connection is looked at before it is used.
+const LOOK_AFTER: Micros = Micros::from_millis(20);
+
+/// Idle time after which a connection is closed; targets close theirs after a minute.
+const IDLE_LIFE: Micros = Micros::from_secs(40);
+
+/// Time for which a leaving primary is used while another one is promoted; a promotion takes about 1 s
+/// and a leaving target must get no new work after 7 s.
+const LEADER_GRACE: Micros = Micros::from_secs(4);
+
+/// Wait after a target refused a connection because it has too many.
+const REFUSED_WAIT: Micros = Micros::from_millis(200);
+
+/// Longest wait for a sign of life of an idle connection; regions are 20 ms apart.
+const ALIVE_LIMIT: Micros = Micros::from_millis(250);
+
+/// What a session wants of a connection.
+#[derive(Debug)]
+pub(crate) struct LeaseWish<'a> {
+    /// Database of the session.
+    pub(crate) database: &'a SharedName,
+    /// Priority of its route.
+    pub(crate) priority: u32,
+    /// Time at which the answer is worthless.
+    pub(crate) deadline: Micros,
+    /// Values that the connection should have; others cost a round trip.
+    pub(crate) values: &'a SessionValues,
+    /// Longest idle time of a connection that is used without a sign of life.
+    pub(crate) trusted_idle: Micros,
+}
+
+/// Why no connection was leased; nothing was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseFailure {
+    /// Kind of the failure.
+    pub(crate) kind: FailureKind,
+    /// Time after which a retry may succeed.
+    pub(crate) retry_after: Micros,
+}
+
+impl LeaseFailure {
+    const fn new(kind: FailureKind) -> Self {
+        Self { kind, retry_after: Micros::ZERO }
+    }
+}
+
+#[derive(Debug)]
+struct PoolState<P> {
+    queue: SlotQueue,
+    granted: FastMap<SlotTicket, oneshot::Sender<()>>,
+    idle: Vec<PooledConnection<P>>,
+    health: TargetHealth,
+    /// Last known position of the target's log and when it was learnt.
+    position: Option<(LogPosition, Micros)>,
+    share: ConnectionShare,
+    address: SharedName,
+    /// When the target takes no new work any more.
+    closes_at: Option<Micros>,
+    refused_until: Micros,
+    probing: bool,
+}
+
+impl<P> PoolState<P> {
+    fn is_closing(&self, now: Micros) -> bool {
+        self.closes_at.is_some_and(|closes_at| closes_at <= now)
+    }
+}
+
+/// Connections to one target and the requests that wait for them.
+#[derive(Debug)]
+pub(crate) struct TargetPool<P>
+where
+    P: StatementProtocol,
+{
+    core: Rc<GatewayCore<P>>,
+    /// Group of the target.
+    pub(crate) group: SharedName,
+    /// Name of the target.
+    pub(crate) target: SharedName,
+    state: RefCell<PoolState<P>>,
+}
+
+impl<P> TargetPool<P>
+where
+    P: StatementProtocol,
+{
+    pub(crate) fn new(
+        core: Rc<GatewayCore<P>>,
+        report: &TargetReport,
+        share: ConnectionShare,
+        leads: bool,
+    ) -> Rc<Self> {
+        let queue = SlotQueue::new(QueueRules::new(slots_of(&share)));
+        let state = PoolState {
+            queue,
+            granted: FastMap::default(),
+            idle: Vec::new(),
+            health: TargetHealth::default(),
+            position: None,
+            share: share.clone(),
+            address: report.address.clone(),
+            closes_at: None,
+            refused_until: Micros::ZERO,
+            probing: false,
+        };
+        let (group, target) = (report.group.clone(), report.target.clone());
+        let pool = Rc::new(Self { core, group, target, state: RefCell::new(state) });
+        pool.update(report, share, leads);
+        pool
+    }
+
+    pub(crate) fn now(&self) -> Micros {
+        self.core.clock.now()
+    }
+
+    pub(crate) fn protocol(&self) -> &P {
+        &self.core.protocol
+    }
+
+    /// Takes over what the directory says of the target.
+    ///
+    /// A leaving primary serves on for a while, until another one is promoted.
+    pub(crate) fn update(&self, report: &TargetReport, share: ConnectionShare, leads: bool) {
+        let now = self.now();
+        let mut dropped = Vec::new();
+        let mut state = self.state.borrow_mut();
+        if state.address != report.address {
+            state.address = report.address.clone();
+            dropped.append(&mut state.idle);
+        }
+        if state.share != share {
+            state.queue.set_slots(slots_of(&share));
+            state.share = share;
+        }
+        if report.state == TargetState::Draining {
+            let grace = if leads { LEADER_GRACE } else { Micros::ZERO };
+            let closes_at = state.closes_at.unwrap_or(now + grace);
+            state.closes_at = Some(if leads { closes_at } else { closes_at.min(now) });
+        } else {
+            state.closes_at = None;
+        }
+        if state.is_closing(now) {
+            dropped.append(&mut state.idle);
+        }
+        drop(state);
+        close_all(dropped);
+        self.start_waiting();
+    }
+
+    /// Takes no new work any more.
+    pub(crate) fn retire(&self) {
+        let mut state = self.state.borrow_mut();
+        state.closes_at = Some(Micros::ZERO);
+        let dropped = std::mem::take(&mut state.idle);
+        drop(state);
+        close_all(dropped);
+    }
+
+    /// Closes connections that nobody has used for long.
+    pub(crate) fn close_unused(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let (kept, dropped) = std::mem::take(&mut state.idle)
+            .into_iter()
+            .partition(|pooled| now.since(pooled.used) < IDLE_LIFE);
+        state.idle = kept;
+        drop(state);
+        close_all(dropped);
+    }
+
+    /// Returns the health of the target.
+    pub(crate) fn health(&self) -> TargetHealth {
+        self.state.borrow().health
+    }
+
+    /// Returns the number of statements that run or wait, and how many may run.
+    pub(crate) fn load(&self) -> (u32, u32) {
+        let state = self.state.borrow();
+        let count = state.queue.running() + state.queue.waiting();
+        (u32::try_from(count).unwrap_or(u32::MAX), slots_of(&state.share))
+    }
+
+    /// Returns how far the target's log had come, if that is known to be recent.
+    pub(crate) fn recent_position(&self) -> Option<LogPosition> {
+        let (position, learnt) = self.state.borrow().position?;
+        (self.now().since(learnt) < POSITION_LIFE).then_some(position)
+    }
+
+    /// Returns whether a statement may be sent to the target now.
+    pub(crate) fn is_open(&self) -> bool {
+        let state = self.state.borrow();
+        let now = self.now();
+        !state.is_closing(now) && state.health.may_try(now) && now >= state.refused_until
+    }
+
+    /// Returns whether this entry connects to the target itself.
+    pub(crate) fn is_direct(&self) -> bool {
+        matches!(self.state.borrow().share, ConnectionShare::Direct(_))
+    }
+
+    /// Waits for a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; nothing was sent to the target on behalf of the session.
+    pub(crate) async fn lease(
+        self: &Rc<Self>,
+        wish: &LeaseWish<'_>,
+    ) -> Result<TargetLease<P>, LeaseFailure> {
+        let hold = self.wait_for_slot(wish).await?;
+        if let Some(mut pooled) = self.take_idle(wish.values) {
+            let idle = self.now().since(pooled.used);
+            if idle < wish.trusted_idle || self.is_alive(&mut pooled, wish).await {
+                return Ok(TargetLease::new(pooled, hold));
+            }
+        }
+        let pooled = self.connect(wish).await?;
+        Ok(TargetLease::new(pooled, hold))
+    }
+
+    async fn wait_for_slot(
+        self: &Rc<Self>,
+        wish: &LeaseWish<'_>,
+    ) -> Result<SlotHold<P>, LeaseFailure> {
+        let now = self.now();
+        let (hold, granted) = {
+            let mut state = self.state.borrow_mut();
+            if state.is_closing(now) {
+                return Err(LeaseFailure::new(FailureKind::Leaving));
+            }
+            if !state.health.may_try(now) {
+                return Err(LeaseFailure::new(FailureKind::Unreachable));
+            }
+            if now < state.refused_until {
+                return Err(LeaseFailure::new(FailureKind::TargetRefused));
+            }
+            let request = SlotRequest {
+                application: wish.database.clone(),
+                kind: wish.database.clone(),
+                priority: wish.priority,
+                deadline: wish.deadline,
+                fingerprint: 0,
+                hint: None,
+                limit: None,
+                continues: false,
+            };
+            let ticket = state.queue.enqueue(request, now).map_err(refusal)?;
+            let (sender, granted) = oneshot::channel();
+            state.granted.insert(ticket, sender);
+            (SlotHold { pool: Rc::clone(self), ticket, ran: None }, granted)
+        };
+        self.start_waiting();
+        let left = wish.deadline.since(now).as_duration();
+        match timeout(left, granted).await {
+            Ok(Ok(())) => Ok(hold),
+            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
+        }
+    }
+
+    /// Gives free slots to waiting requests.
+    fn start_waiting(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        while let Some(start) = state.queue.start_next(now, true) {
+            let granted = state.granted.remove(&start.ticket);
+            if granted.is_none_or(|sender| sender.send(()).is_err()) {
+                state.queue.finish(start.ticket, None);
+            }
+        }
+        for ticket in state.queue.take_missed() {
+            state.granted.remove(&ticket);
+        }
+    }
+
+    fn take_idle(&self, values: &SessionValues) -> Option<PooledConnection<P>> {
+        let mut broken = Vec::new();
+        let mut state = self.state.borrow_mut();
+        let now = self.now();
+        let found = loop {
+            let fitting = state.idle.iter().rposition(|pooled| pooled.has_values(values));
+            let place = fitting.or_else(|| state.idle.len().checked_sub(1));
+            let Some(place) = place else { break None };
+            let pooled = state.idle.remove(place);
+            if now.since(pooled.used) < LOOK_AFTER || pooled.connection.is_usable() {
+                break Some(pooled);
+            }
+            broken.push(pooled);
+        };
+        drop(state);
+        drop(broken);
+        found
+    }
+
+    async fn is_alive(&self, pooled: &mut PooledConnection<P>, wish: &LeaseWish<'_>) -> bool {
+        let left = wish.deadline.since(self.now()).min(ALIVE_LIMIT);
+        let verified = timeout(left.as_duration(), pooled.verify()).await;
+        matches!(verified, Ok(Ok(())))
+    }
+
+    /// Opens a connection; it is kept for others if the session stops waiting for it.
+    async fn connect(
+        self: &Rc<Self>,
+        wish: &LeaseWish<'_>,
+    ) -> Result<PooledConnection<P>, LeaseFailure> {
+        let (sender, opened) = oneshot::channel();
+        let pool = Rc::clone(self);
+        let plan = OpenPlan { database: wish.database.clone(), priority: wish.priority };
+        tokio::task::spawn_local(async move {
+            let result = pool.open_connection(&plan).await;
+            if let Err(Ok(unwanted)) = sender.send(result) {
+                pool.put_back(unwanted);
+            }
+        });
+        let left = wish.deadline.since(self.now()).as_duration();
+        match timeout(left, opened).await {
+            Ok(Ok(result)) => result,
+            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
+        }
+    }
+
+    async fn open_connection(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
+        let begun = self.now();
+        let (address, share) = {
+            let state = self.state.borrow();
+            (state.address.clone(), state.share.clone())
+        };
+        let opened = opening::open(&self.core, (&self.group, &self.target), &address, &share, plan);
+        let opened = opened.await;
+        let now = self.now();
+        match opened {
+            Ok(pooled) => {
+                let change = self.state.borrow_mut().health.reached();
+                self.report(change, now);
+                Ok(pooled)
+            }
+            Err(OpenFailure::Unreachable(reason)) => {
+                self.note_lost(begun, &reason);
+                Err(LeaseFailure::new(FailureKind::Unreachable))
+            }
+            Err(OpenFailure::Refused(error)) => {
+                self.state.borrow_mut().refused_until = now + REFUSED_WAIT;
+                Err(LeaseFailure::new(error.failure()))
+            }
+            Err(OpenFailure::Relay(failure)) => Err(failure),
+        }
+    }
+
+    /// Takes back the connection of a lease.
+    pub(super) fn put_back(&self, pooled: PooledConnection<P>) {
+        let mut state = self.state.borrow_mut();
+        let kept =
+            !state.is_closing(self.now()) && matches!(state.share, ConnectionShare::Direct(_));
+        if kept && pooled.connection.is_clean() && !pooled.connection.is_closed() {
+            state.idle.push(pooled);
+            return;
+        }
+        drop(state);
+        close_all(vec![pooled]);
+    }
+
+    /// Learns from an answer.
+    pub(super) fn note_answer(&self, took: Micros, answer: &StatementAnswer, now: Micros) {
+        let mut state = self.state.borrow_mut();
+        let failed = matches!(answer.outcome, Err((TargetError::Failed, _)));
+        let change = state.health.answered(took, failed);
+        if let Some(position) = answer.position {
+            state.position = Some((position, now));
+        }
+        drop(state);
+        self.report(change, now);
+    }
+
+    /// Learns that the target gave no answer.
+    pub(crate) fn note_lost(&self, begun: Micros, reason: &str) {
+        let now = self.now();
+        let change = self.state.borrow_mut().health.failed(begun, now);
+        if change == HealthChange::Lost {
+            log::warn!(
+                target: "event",
+                event:display = EventNumber::TargetUnreachable,
+                group:display = self.group,
+                server:display = self.target,
+                reason;
+                ""
+            );
+        }
+        self.report(change, now);
+    }
+
+    fn report(&self, change: HealthChange, now: Micros) {
+        if change == HealthChange::None {
+            return;
+        }
+        if change == HealthChange::Regained {
+            log::info!(
+                target: "event",
+                event:display = EventNumber::TargetReachable,
+                group:display = self.group,
+                server:display = self.target;
+                ""
+            );
+        }
+        let failing = (change == HealthChange::Lost).then_some(now);
+        self.core.note_reach(&self.group, &self.target, failing);
+    }
+
+    /// Tries a fresh connection, after an answer that is late or did not come.
+    ///
+    /// The connection may have gone silent, or the target may be gone without a word.
+    pub(crate) fn probe(self: &Rc<Self>) {
+        if !self.is_direct() || std::mem::replace(&mut self.state.borrow_mut().probing, true) {
+            return;
+        }
+        let pool = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let plan = OpenPlan { database: pool.group.clone(), priority: 0 };
+            let probed = pool.open_connection(&plan).await;
+            pool.state.borrow_mut().probing = false;
+            if let Ok(pooled) = probed {
+                pool.put_back(pooled);
+            }
+        });
+    }
+}
+
+/// A place in the queue or a slot; dropping it gives it back.
+#[derive(Debug)]
+pub(crate) struct SlotHold<P>
+where
+    P: StatementProtocol,
+{
+    pub(super) pool: Rc<TargetPool<P>>,
+    ticket: SlotTicket,
+    /// Time that the target took.
+    pub(super) ran: Option<Micros>,
+}
+
+impl<P> Drop for SlotHold<P>
+where
+    P: StatementProtocol,
+{
+    fn drop(&mut self) {
+        let mut state = self.pool.state.borrow_mut();
+        state.granted.remove(&self.ticket);
+        if !state.queue.cancel(self.ticket) {
+            state.queue.finish(self.ticket, self.ran);
+        }
+        drop(state);
+        self.pool.start_waiting();
+    }
+}
+
+const fn slots_of(share: &ConnectionShare) -> u32 {
+    match share {
+        ConnectionShare::Direct(connections) => *connections,
+        ConnectionShare::Relayed(_) => RELAYED_SLOTS,
+    }
+}
+
+const fn refusal(refusal: QueueRefusal) -> LeaseFailure {
+    match refusal {
+        QueueRefusal::WouldMiss { retry_after } => {
+            LeaseFailure { kind: FailureKind::Overloaded, retry_after }
+        }
+        QueueRefusal::DeadlinePassed => LeaseFailure::new(FailureKind::QueueTimeout),
+    }
+}
+
+/// Closes connections without waiting for it.
+fn close_all<P>(connections: Vec<PooledConnection<P>>)
+where
+    P: StatementProtocol,
+{
+    for pooled in connections {
+        if pooled.connection.is_closed() {
+            continue;
+        }
+        tokio::task::spawn_local(pooled.end());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,240 @@
+//! A gateway process: callers, pools, relay, directory and status in one running handle.
+
+use {
+    crate::{
+        follow::{DirectoryFollower, FollowSources},
+        relay::RelayService,
+        session::{CallerListener, CallerSources, StopStage},
+        settings::GatewaySettings,
+    },
+    banyansill_core::{
+        directory::ProcessHost, event::EventNumber, gateway::RoutingTable, names::SharedName,
+    },
+    banyansill_runtime::{board::MetricBoard, clock::MonotonicClock, status::StatusListener},
+    banyansill_target::StatementProtocol,
+    miette::Diagnostic,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::{Instant, sleep, sleep_until},
+    },
+    tonic::transport::{Server, server::TcpIncoming},
+};
+
+/// Prefix of the metrics.
+const METRIC_PREFIX: &str = "banyansill.gateway";
+
+/// Time between the loss of readiness and the end of idle sessions: balancers ask every second and
+/// leave an entry out after two misses, so sessions that end earlier would come back here.
+const CLOSING_AFTER: Duration = Duration::from_millis(2_200);
+
+/// Part of the grace that open transactions have to end.
+const TRANSACTION_PART: u32 = 2;
+
+/// Part of the grace after which the process ends whatever is still open.
+const LAST_TENTHS: u32 = 9;
+
+/// Interval at which a stop looks for open sessions.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Interval of pings to other entries that hold connections.
+const PEER_PING: Duration = Duration::from_secs(2);
+
+/// Time after which an unanswered ping ends the connection of another entry.
+const PEER_PING_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A gateway that cannot be started.
+#[derive(Debug, Error, Diagnostic)]
+pub enum GatewayError {
+    /// A listener cannot be opened.
+    #[error("listener {address}: {source}")]
+    #[diagnostic(code(banyansill::gateway::listen))]
+    Listen {
+        /// Address of the listener.
+        address: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// Running gateway.
+#[derive(Debug)]
+#[must_use]
+pub struct GatewayHandle {
+    settings: GatewaySettings,
+    callers: CallerListener,
+    status: StatusListener,
+    ready: Arc<AtomicBool>,
+    stopping: Arc<AtomicBool>,
+    stage: watch::Sender<StopStage>,
+    seeds: watch::Sender<Vec<SharedName>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts a gateway whose callers and targets speak `protocol`.
+///
+/// # Errors
+///
+/// Returns an error if a listener cannot be opened.
+pub async fn spawn<P>(settings: GatewaySettings, protocol: P) -> Result<GatewayHandle, GatewayError>
+where
+    P: StatementProtocol,
+{
+    let clock = MonotonicClock::start();
+    let board = MetricBoard::default();
+    let own = ProcessHost {
+        host: settings.host.clone(),
+        address: settings.peers.to_string().into(),
+        zone: settings.zone.clone(),
+    };
+    let (table, routes) = watch::channel(Arc::new(RoutingTable::default()));
+    let (stage, stages) = watch::channel(StopStage::default());
+    let (notes, noted) = mpsc::unbounded_channel();
+    let (seeds, known_seeds) = watch::channel(seed_addresses(&settings));
+    let (relay, inbox) = RelayService::new();
+    let peers = settings.peers;
+    let listener = TcpListener::bind(peers).await.map_err(listen_error(peers))?;
+    let sources = CallerSources {
+        settings: settings.clone(),
+        own: own.clone(),
+        protocol,
+        clock,
+        table: routes.clone(),
+        stage: stages,
+        notes,
+        inbox,
+        metrics: board.client(METRIC_PREFIX),
+    };
+    let callers = CallerListener::bind(sources).await.map_err(listen_error(settings.callers))?;
+    let ready = Arc::new(AtomicBool::new(false));
+    let mut addresses = vec![settings.status];
+    addresses.extend(settings.metrics);
+    let status = StatusListener::bind(&addresses, Arc::clone(&ready), board)
+        .await
+        .map_err(listen_error(settings.status))?;
+    let stopping = Arc::new(AtomicBool::new(false));
+    let follower = DirectoryFollower::new(FollowSources {
+        own,
+        seeds: known_seeds,
+        clock,
+        table,
+        notes: noted,
+    });
+    let tasks = vec![
+        tokio::spawn(follower.run()),
+        tokio::spawn(serve_peers(listener, relay)),
+        tokio::spawn(watch_readiness(routes, Arc::clone(&ready), Arc::clone(&stopping))),
+    ];
+    log::info!(
+        target: "event",
+        event:display = EventNumber::ProcessReady,
+        callers:display = settings.callers,
+        version = env!("CARGO_PKG_VERSION");
+        ""
+    );
+    Ok(GatewayHandle { settings, callers, status, ready, stopping, stage, seeds, tasks })
+}
+
+fn listen_error(address: SocketAddr) -> impl FnOnce(io::Error) -> GatewayError {
+    move |source| GatewayError::Listen { address, source }
+}
+
+fn seed_addresses(settings: &GatewaySettings) -> Vec<SharedName> {
+    let mut addresses = Vec::new();
+    for seed in &settings.control {
+        addresses.push(SocketAddr::new(seed.ip(), settings.control_port).to_string().into());
+    }
+    addresses
+}
+
+async fn serve_peers(
+    listener: TcpListener,
+    relay: banyansill_wire::directory_v1::relay_server::RelayServer<RelayService>,
+) {
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(PEER_PING))
+        .http2_keepalive_timeout(Some(PEER_PING_TIMEOUT))
+        .add_service(relay);
+    if let Err(error) = server.serve_with_incoming(incoming).await {
+        log::error!("listener for other entries: {error}");
+    }
+}
+
+/// Turns ready once routes are known; a stop turns it off for good.
+async fn watch_readiness(
+    mut routes: watch::Receiver<Arc<RoutingTable>>,
+    ready: Arc<AtomicBool>,
+    stopping: Arc<AtomicBool>,
+) {
+    let known = routes.wait_for(|table| table.book_version > 0).await.is_ok();
+    if known && !stopping.load(Ordering::Acquire) {
+        ready.store(true, Ordering::Release);
+    }
+}
+
+impl GatewayHandle {
+    /// Takes over settings that can change while the process runs: the control replicas.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        let changed = self.seeds.send_if_modified(|seeds| {
+            let addresses = seed_addresses(settings);
+            let differs = *seeds != addresses;
+            *seeds = addresses;
+            differs
+        });
+        log::info!(
+            target: "event",
+            event:display = EventNumber::SettingsReloaded,
+            outcome = if changed { "changed" } else { "unchanged" };
+            ""
+        );
+    }
+
+    /// Stops gracefully within the settings' grace.
+    pub async fn stop(self) {
+        let begun = Instant::now();
+        let grace = self.settings.grace;
+        log::info!(
+            target: "event",
+            event:display = EventNumber::ProcessStopping,
+            sessions = self.callers.open_sessions();
+            ""
+        );
+        self.stopping.store(true, Ordering::Release);
+        self.ready.store(false, Ordering::Release);
+        sleep_until(begun + CLOSING_AFTER.min(grace / TRANSACTION_PART)).await;
+        self.stage.send_replace(StopStage::Closing);
+        self.wait_closed(begun + grace / TRANSACTION_PART).await;
+        self.stage.send_replace(StopStage::Ending);
+        self.wait_closed(begun + grace * LAST_TENTHS / 10).await;
+        let left = self.callers.open_sessions();
+        self.callers.close().await;
+        self.status.close().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        log::info!(
+            target: "event",
+            event:display = EventNumber::ProcessStopped,
+            cut_off = left;
+            ""
+        );
+    }
+
+    async fn wait_closed(&self, end: Instant) {
+        while self.callers.open_sessions() > 0 && Instant::now() < end {
+            sleep(STOP_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/session/mod.rs
@@ -0,0 +1,10 @@
+//! Callers: their connections, sessions and statements.
+
+mod caller;
+mod codec;
+mod listener;
+mod outcome;
+mod single;
+mod transaction;
+
+pub(crate) use listener::{CallerListener, CallerSources, StopStage};
--- /dev/null
+++ b/crates/gateway/src/session/single.rs
@@ -0,0 +1,497 @@
+//! Statements outside transactions.
+
+use {
+    super::{
+        caller::{CallerSession, StatementRequest},
+        outcome::{StatementFailure, StatementResult, StatementTrace},
+        transaction::{run_body, run_body_at},
+    },
+    crate::{
+        gateway::Gateway,
+        pool::{LeaseFailure, LeaseWish, SessionValues, TargetPool},
+    },
+    banyansill_core::{
+        directory::{ReadRule, RouteRule},
+        event::EventNumber,
+        failure::FailureKind,
+        gateway::{AttemptEnd, NextStep, StatementWork, TargetError, next_step, order_candidates},
+        names::SharedName,
+        position::LogPosition,
+        time::Micros,
+    },
+    banyansill_target::{StatementAccess, StatementAnswer, StatementProtocol},
+    bytes::Bytes,
+    std::{rc::Rc, time::Duration},
+    tokio::{task::JoinHandle, time::timeout},
+};
+
+/// Idle time up to which a connection is used for a write without a sign of life. A silent path loses
+/// the write's answer, which leaves its outcome unknown.
+const WRITE_TRUSTED_IDLE: Micros = Micros::from_millis(1_500);
+
+/// Wait before targets that lag or are full are asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
+/// Least time without an answer after which a read is sent to a second target.
+const HEDGE_MINIMUM: Micros = Micros::from_millis(250);
+
+/// Multiple of the average latency after which a read is sent to a second target.
+const HEDGE_FACTOR: u64 = 6;
+
+/// Part of the age limit that is left for the way of a read to its target.
+const AGE_RESERVE: Micros = Micros::from_millis(100);
+
+/// Longest wait for a primary that has to prove a read's freshness before replicas are tried again.
+const LEADER_PATIENCE: Micros = Micros::from_millis(150);
+
+/// How one attempt ended, with its answer or the target's word.
+type AttemptResult = Result<StatementAnswer, FailedAttempt>;
+
+/// Attempt without a successful answer.
+#[derive(Clone, Debug)]
+struct FailedAttempt {
+    end: AttemptEnd,
+    /// What the target said, or why there was no connection.
+    failure: StatementFailure,
+}
+
+impl FailedAttempt {
+    const fn new(end: AttemptEnd, kind: FailureKind) -> Self {
+        Self { end, failure: StatementFailure::new(kind) }
+    }
+
+    const fn unleased(failure: LeaseFailure) -> Self {
+        let LeaseFailure { kind, retry_after } = failure;
+        let failure = StatementFailure { kind, retry_after, detail: Bytes::new() };
+        Self { end: AttemptEnd::NotSent, failure }
+    }
+}
+
+impl<P> CallerSession<P>
+where
+    P: StatementProtocol,
+{
+    pub(super) async fn run_single(
+        &mut self,
+        request: &StatementRequest,
+        trace: &mut StatementTrace,
+    ) -> StatementResult {
+        match request.access {
+            StatementAccess::Write => self.run_write(request, trace).await,
+            StatementAccess::Read => self.run_read(request, trace).await,
+        }
+    }
+
+    /// Runs a write at the primary, at most once.
+    async fn run_write(
+        &mut self,
+        request: &StatementRequest,
+        trace: &mut StatementTrace,
+    ) -> StatementResult {
+        let mut refused = Vec::new();
+        let mut last = StatementFailure::new(FailureKind::NoPrimary);
+        loop {
+            let table = self.gateway.table();
+            let Some(pool) = self.gateway.leader(&table, &request.route.group, &refused) else {
+                refused.clear();
+                if !self.gateway.wait_for_leader(request.deadline).await {
+                    return Err(last);
+                }
+                continue;
+            };
+            trace.attempts += 1;
+            trace.target = Some(pool.target.clone());
+            let asked = self.gateway.now();
+            let failed = match self.try_write(&pool, request).await {
+                Ok(answer) => {
+                    self.note_commit(&request.route, true, asked, &answer);
+                    return Ok(answer);
+                }
+                Err(failed) => failed,
+            };
+            match next_step(StatementWork::Write, failed.end, false) {
+                NextStep::GiveUp(kind) => {
+                    return Err(StatementFailure { kind, ..failed.failure });
+                }
+                NextStep::Retry
+                    if failed.failure.kind == FailureKind::Overloaded
+                        && failed.end == AttemptEnd::NotSent =>
+                {
+                    return Err(failed.failure);
+                }
+                NextStep::Retry => {
+                    log_attempt(&request.id, &pool.target, &failed);
+                    last = failed.failure;
+                    if matches!(failed.end, AttemptEnd::Reported(TargetError::Busy)) {
+                        if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
+                            return Err(last);
+                        }
+                    } else {
+                        refused.push(pool.target.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    async fn try_write(
+        &self,
+        pool: &Rc<TargetPool<P>>,
+        request: &StatementRequest,
+    ) -> AttemptResult {
+        let wish = LeaseWish {
+            database: &self.database,
+            priority: request.route.priority,
+            deadline: request.deadline,
+            values: &self.values,
+            trusted_idle: WRITE_TRUSTED_IDLE,
+        };
+        let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
+        let left = request.deadline.since(self.gateway.now()).as_duration();
+        let aligned = timeout(left, lease.pooled.align(&self.values)).await;
+        if !matches!(aligned, Ok(Ok(()))) {
+            return Err(FailedAttempt::new(AttemptEnd::NotSent, FailureKind::Unreachable));
+        }
+        let asked = self.gateway.now();
+        let left = request.deadline.since(asked).as_duration();
+        match timeout(left, run_body(&mut lease, request)).await {
+            Ok(result) => judge(result),
+            Err(_) => {
+                pool.probe();
+                Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
+            }
+        }
+    }
+
+    async fn run_read(
+        &mut self,
+        request: &StatementRequest,
+        trace: &mut StatementTrace,
+    ) -> StatementResult {
+        loop {
+            let floor = self.read_floor(&request.route);
+            let mut order = match floor {
+                Some(_) => self.read_order(&request.route, floor),
+                None => Vec::new(),
+            };
+            trace.floor = floor;
+            while let Some(pool) = (!order.is_empty()).then(|| order.remove(0)) {
+                trace.attempts += 1;
+                trace.target = Some(pool.target.clone());
+                let second = order.first().cloned();
+                let attempt = self.read_hedged(&pool, second, request, floor, trace).await;
+                let failed = match attempt {
+                    Ok(answer) => return Ok(answer),
+                    Err(failed) => failed,
+                };
+                let budget = self.gateway.take_retry_for(failed.end);
+                match next_step(StatementWork::Read, failed.end, budget) {
+                    NextStep::GiveUp(kind) => {
+                        return Err(StatementFailure { kind, ..failed.failure });
+                    }
+                    NextStep::Retry => log_attempt(&request.id, &pool.target, &failed),
+                }
+                if self.gateway.now() >= request.deadline {
+                    return Err(failed.failure);
+                }
+            }
+            // Without a position, or where no target has it, only the primary can prove that its
+            // answer lacks nothing.
+            let failed = match self.read_at_leader(request, trace).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            if let NextStep::GiveUp(kind) = next_step(StatementWork::Read, failed.end, true) {
+                return Err(StatementFailure { kind, ..failed.failure });
+            }
+            if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
+                return Err(failed.failure);
+            }
+        }
+    }
+
+    /// Returns the position that a read of a route needs, or `None` if only the primary can tell.
+    pub(super) fn read_floor(&self, route: &RouteRule) -> Option<LogPosition> {
+        let max_age = match route.reads {
+            ReadRule::Latest => return None,
+            ReadRule::Bounded { max_age } | ReadRule::Session { max_age } => max_age,
+        };
+        let freshness = self.gateway.core.freshness(&route.group);
+        let mark = freshness.floor(self.gateway.now(), max_age.since(AGE_RESERVE))?;
+        match route.reads {
+            ReadRule::Session { .. } => Some(self.floor.map_or(mark, |own| own.max(mark))),
+            _ => Some(mark),
+        }
+    }
+
+    /// Returns the pools that may serve a read, the best one first.
+    pub(super) fn read_order(
+        &self,
+        route: &RouteRule,
+        floor: Option<LogPosition>,
+    ) -> Vec<Rc<TargetPool<P>>> {
+        let table = self.gateway.table();
+        let Some(group) = table.groups.get(&route.group) else { return Vec::new() };
+        let (pools, mut candidates) = self.gateway.read_candidates(&table, group);
+        candidates.retain(|candidate| candidate.reachable);
+        order_candidates(&mut candidates, floor);
+        candidates.iter().map(|candidate| Rc::clone(&pools[candidate.index])).collect()
+    }
+
+    /// Reads at one target, and at a second one too if the first is silent for unusually long.
+    async fn read_hedged(
+        &self,
+        pool: &Rc<TargetPool<P>>,
+        second: Option<Rc<TargetPool<P>>>,
+        request: &StatementRequest,
+        floor: Option<LogPosition>,
+        trace: &mut StatementTrace,
+    ) -> AttemptResult {
+        let mut first = self.spawn_read(pool, request, floor);
+        let patience = Micros(pool.health().latency().0 * HEDGE_FACTOR).max(HEDGE_MINIMUM);
+        let left = request.deadline.since(self.gateway.now());
+        if left <= patience {
+            return joined(first.await);
+        }
+        if let Ok(result) = timeout(patience.as_duration(), &mut first).await {
+            return joined(result);
+        }
+        let Some(second) = second.filter(|second| second.is_open()) else {
+            return joined(first.await);
+        };
+        if !self.gateway.take_retry() {
+            return joined(first.await);
+        }
+        trace.hedged = true;
+        trace.attempts += 1;
+        log::info!(
+            target: "request",
+            event:display = EventNumber::ReadHedged,
+            request:display = String::from_utf8_lossy(&request.id),
+            silent:display = pool.target,
+            server:display = second.target,
+            after_us = patience.0;
+            ""
+        );
+        let mut other = self.spawn_read(&second, request, floor);
+        // The slower attempt ends by itself and frees its connection.
+        tokio::select! {
+            result = &mut first => match joined(result) {
+                Ok(answer) => Ok(answer),
+                Err(_) => {
+                    trace.target = Some(second.target.clone());
+                    joined(other.await)
+                }
+            },
+            result = &mut other => match joined(result) {
+                Ok(answer) => {
+                    trace.target = Some(second.target.clone());
+                    Ok(answer)
+                }
+                Err(_) => joined(first.await),
+            },
+        }
+    }
+
+    fn spawn_read(
+        &self,
+        pool: &Rc<TargetPool<P>>,
+        request: &StatementRequest,
+        floor: Option<LogPosition>,
+    ) -> JoinHandle<AttemptResult> {
+        let attempt = ReadAttempt {
+            gateway: Rc::clone(&self.gateway),
+            pool: Rc::clone(pool),
+            database: self.database.clone(),
+            values: self.values.clone(),
+            request: request.clone(),
+            floor,
+        };
+        tokio::task::spawn_local(attempt.run())
+    }
+
+    /// Reads at the primary inside a transaction, which it refuses once it has lost the lead.
+    async fn read_at_leader(
+        &self,
+        request: &StatementRequest,
+        trace: &mut StatementTrace,
+    ) -> AttemptResult {
+        let mut refused: Vec<SharedName> = Vec::new();
+        let latest = request.route.reads == ReadRule::Latest;
+        let patience = if latest {
+            request.deadline
+        } else {
+            request.deadline.min(self.gateway.now() + LEADER_PATIENCE)
+        };
+        let mut last = FailedAttempt::new(AttemptEnd::NotSent, FailureKind::NoPrimary);
+        loop {
+            let table = self.gateway.table();
+            let Some(pool) = self.gateway.leader(&table, &request.route.group, &refused) else {
+                refused.clear();
+                if !self.gateway.wait_for_leader(patience).await {
+                    return Err(last);
+                }
+                continue;
+            };
+            trace.attempts += 1;
+            trace.target = Some(pool.target.clone());
+            trace.floor = None;
+            last = match self.try_read_at_leader(&pool, request).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            log_attempt(&request.id, &pool.target, &last);
+            let budget = self.gateway.take_retry_for(last.end);
+            let retry = next_step(StatementWork::Read, last.end, budget);
+            let overloaded =
+                last.failure.kind == FailureKind::Overloaded && last.end == AttemptEnd::NotSent;
+            if overloaded || matches!(retry, NextStep::GiveUp(_)) {
+                return Err(last);
+            }
+            if matches!(last.end, AttemptEnd::Reported(TargetError::Busy)) {
+                if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
+                    return Err(last);
+                }
+            } else {
+                refused.push(pool.target.clone());
+            }
+        }
+    }
+
+    async fn try_read_at_leader(
+        &self,
+        pool: &Rc<TargetPool<P>>,
+        request: &StatementRequest,
+    ) -> AttemptResult {
+        let wish = LeaseWish {
+            database: &self.database,
+            priority: request.route.priority,
+            deadline: request.deadline,
+            values: &self.values,
+            trusted_idle: Micros(u64::MAX),
+        };
+        let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
+        let attempt = async {
+            lease
+                .pooled
+                .align(&self.values)
+                .await
+                .map_err(|end| FailedAttempt::new(end, FailureKind::Unreachable))?;
+            lease.begin(false, None).await.map_err(|end| match end {
+                AttemptEnd::Reported(error) => FailedAttempt::new(end, error.failure()),
+                _ => FailedAttempt::new(end, FailureKind::Unreachable),
+            })?;
+            let asked = self.gateway.now();
+            let answer = judge(run_body(&mut lease, request).await)?;
+            self.gateway.core.freshness(&request.route.group).record(asked, answer.position);
+            Ok(answer)
+        };
+        let asked = self.gateway.now();
+        let left = request.deadline.since(asked).as_duration();
+        let Ok(result) = timeout(left, attempt).await else {
+            pool.probe();
+            return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout));
+        };
+        lease.roll_back();
+        result
+    }
+}
+
+/// One attempt of a read, which runs to its end even if nobody waits for it any more.
+struct ReadAttempt<P>
+where
+    P: StatementProtocol,
+{
+    gateway: Rc<Gateway<P>>,
+    pool: Rc<TargetPool<P>>,
+    database: SharedName,
+    values: SessionValues,
+    request: StatementRequest,
+    floor: Option<LogPosition>,
+}
+
+impl<P> ReadAttempt<P>
+where
+    P: StatementProtocol,
+{
+    async fn run(self) -> AttemptResult {
+        let wish = LeaseWish {
+            database: &self.database,
+            priority: self.request.route.priority,
+            deadline: self.request.deadline,
+            values: &self.values,
+            trusted_idle: Micros(u64::MAX),
+        };
+        let mut lease = self.pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
+        let asked = self.gateway.now();
+        let attempt = async {
+            lease
+                .pooled
+                .align(&self.values)
+                .await
+                .map_err(|end| FailedAttempt::new(end, FailureKind::Unreachable))?;
+            judge(run_body_at(&mut lease, &self.request, self.floor).await)
+        };
+        let left = self.request.deadline.since(asked).as_duration();
+        match timeout(left, attempt).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.pool.probe();
+                Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
+            }
+        }
+    }
+}
+
+impl<P> Gateway<P>
+where
+    P: StatementProtocol,
+{
+    /// Returns whether a retry after an attempt is allowed; a refusal draws on no budget.
+    fn take_retry_for(&self, end: AttemptEnd) -> bool {
+        match end {
+            AttemptEnd::NotSent => true,
+            AttemptEnd::Reported(
+                TargetError::Failed | TargetError::TimedOut | TargetError::InDoubt,
+            )
+            | AttemptEnd::Lost => self.take_retry(),
+            AttemptEnd::Reported(_) => true,
+        }
+    }
+}
+
+fn judge(result: Result<StatementAnswer, AttemptEnd>) -> AttemptResult {
+    match result {
+        Ok(answer) => match answer.outcome.clone() {
+            Ok(_) => Ok(answer),
+            Err((error, detail)) => {
+                let failure = StatementFailure { detail, ..StatementFailure::new(error.failure()) };
+                Err(FailedAttempt { end: AttemptEnd::Reported(error), failure })
+            }
+        },
+        Err(end) => {
+            let kind = match end {
+                AttemptEnd::NotSent => FailureKind::Unreachable,
+                _ => FailureKind::ConnectionLost,
+            };
+            Err(FailedAttempt::new(end, kind))
+        }
+    }
+}
+
+fn joined(result: Result<AttemptResult, tokio::task::JoinError>) -> AttemptResult {
+    result
+        .unwrap_or_else(|_| Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::ConnectionLost)))
+}
+
+fn log_attempt(id: &Bytes, target: &SharedName, failed: &FailedAttempt) {
+    log::info!(
+        target: "request",
+        event:display = EventNumber::AttemptFailed,
+        request:display = String::from_utf8_lossy(id),
+        server:display = target,
+        reason = failed.failure.kind.name(),
+        sent = failed.end != AttemptEnd::NotSent;
+        ""
+    );
+}
--- a/crates/control/src/replica/driver.rs
+++ b/crates/replica/src/replica/driver.rs
@@ -405,6 +405,8 @@
 
     fn member_status(&self) -> Vec<MemberStatus> {
         let indexes: FastMap<_, _> = self.machine.match_indexes().into_iter().collect();
+        let contacts: FastMap<_, _> = self.machine.contacts().into_iter().collect();
+        let now = self.clock.now();
         let mut members = Vec::new();
         for record in self.machine.members().records() {
             let leader = self.machine.leader() == Some(record.identity);
@@ -414,7 +416,12 @@
             } else {
                 indexes.get(&record.identity).copied().unwrap_or(0)
             };
-            members.push(MemberStatus { record: record.clone(), leader, match_index });
+            let silent_for = if own && self.machine.is_leading() {
+                Some(Micros::ZERO)
+            } else {
+                contacts.get(&record.identity).map(|contact| now.since(*contact))
+            };
+            members.push(MemberStatus { record: record.clone(), leader, match_index, silent_for });
         }
         members
     }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/replica/src/replica/handle.rs
@@ -209,6 +209,27 @@
         Err(MemberError::CatchingUp)
     }
 
+    /// Returns the identity of this replica's data folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the replica has stopped.
+    pub async fn identity(&self) -> Result<ReplicaIdentity, LogError> {
+        let (reply, answer) = oneshot::channel();
+        let own = self.ask(ReplicaRequest::Identify { reply }, answer).await?;
+        Ok(ReplicaIdentity(own.identity))
+    }
+
+    /// Removes the member with an identity.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such member or the log refuses the change.
+    pub async fn remove_identity(&self, identity: ReplicaIdentity) -> Result<(), MemberError> {
+        self.require_leader()?;
+        self.change(MemberChange::Remove { identity }).await
+    }
+
     /// Removes the member with a host name.
     ///
     /// # Errors
--- a/crates/control/src/replica/members.rs
+++ b/crates/replica/src/replica/members.rs
@@ -1,6 +1,10 @@
 //! Members as the operator sees them.
 
-use {crate::command_log::LogError, banyansill_core::consensus::MemberRecord, thiserror::Error};
+use {
+    crate::command_log::LogError,
+    banyansill_core::{consensus::MemberRecord, time::Micros},
+    thiserror::Error,
+};
 
 /// Member with its replication state.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +15,9 @@
     pub leader: bool,
     /// Highest synced index that the leader knows of; 0 if the answering replica does not lead.
     pub match_index: u64,
+    /// Time since the leader last heard from it; zero for the leader itself, `None` if the answering
+    /// replica does not lead.
+    pub silent_for: Option<Micros>,
 }
 
 /// Member change that was not carried out.
--- a/crates/control/src/replica/settings.rs
+++ b/crates/replica/src/replica/settings.rs
@@ -31,6 +31,9 @@
     pub folder: PathBuf,
     /// Members of the cluster when it is founded; used only until then.
     pub initial_members: Vec<InitialMember>,
+    /// Addresses of the members where their hosts are not known beforehand; if there are any, they take
+    /// the place of `initial_members`.
+    pub seeds: Vec<SharedName>,
     /// Whether this replica waits to be added to an existing cluster instead of founding one.
     pub join: bool,
     /// Applied entries after which a snapshot is taken.
@@ -49,6 +52,7 @@
             address,
             folder,
             initial_members: vec![initial],
+            seeds: Vec::new(),
             join: false,
             snapshot_entries: SNAPSHOT_ENTRIES,
             storage: StorageSettings::default(),
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -2,30 +2,39 @@
 
 use {
     banyansill_core::time::Micros,
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    nix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// Monotonic clock that counts from its creation; clones share the origin.
+///
+/// It counts the time for which the machine was suspended, unlike [`std::time::Instant`]: a process
+/// that wakes up must see that its leases and confirmations have run out.
 #[derive(Clone, Copy, Debug)]
 pub struct MonotonicClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl MonotonicClock {
     /// Starts a clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: time_since_boot() }
     }
 
     /// Returns the time since the clock was started.
     #[must_use]
     pub fn now(&self) -> Micros {
-        let micros = self.origin.elapsed().as_micros();
+        let micros = time_since_boot().saturating_sub(self.origin).as_micros();
         Micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
 
+fn time_since_boot() -> Duration {
+    // The clock exists on every Linux that the toolchain supports.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
+
 /// Returns the wall time in milliseconds since the Unix epoch.
 #[must_use]
 pub fn wall_millis() -> u64 {
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -1,7 +1,7 @@
 //! Logging by `flexi_logger`.
 
 use {
-    crate::events::EventSink,
+    crate::{events::EventSink, json_log::JsonWriter},
     banyansill_core::event::EventNumber,
     flexi_logger::{FileSpec, FlexiLoggerError, LogSpecification, Logger, LoggerHandle},
     miette::Diagnostic,
@@ -108,7 +108,13 @@
 /// Running logger; dropping it flushes and stops logging.
 #[must_use]
 pub struct LogHandle {
-    _handle: Arc<LoggerHandle>,
+    handle: Arc<LoggerHandle>,
+}
+
+impl Drop for LogHandle {
+    fn drop(&mut self) {
+        self.handle.shutdown();
+    }
 }
 
 impl LogHandle {
@@ -128,11 +134,28 @@
             }
             None => logger.log_to_stderr(),
         };
-        let handle = Arc::new(logger.start()?);
+        Ok(Self::running(logger.start()?, levels))
+    }
+
+    /// Starts logging to standard output, one JSON object a line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `levels` is malformed, the writer's thread cannot be started or another
+    /// logger runs.
+    pub fn open_json(levels: &str, host: &str) -> Result<Self, LogError> {
+        let levels: LogLevels = levels.parse()?;
+        let writer = JsonWriter::spawn(host).map_err(FlexiLoggerError::from)?;
+        let logger = Logger::try_with_str(levels.as_str())?.log_to_writer(Box::new(writer));
+        Ok(Self::running(logger.start()?, levels))
+    }
+
+    fn running(handle: LoggerHandle, levels: LogLevels) -> Self {
+        let handle = Arc::new(handle);
         let mut running = running();
         running.handle = Arc::downgrade(&handle);
         running.levels = levels.into();
-        Ok(Self { _handle: handle })
+        Self { handle }
     }
 }
 
--- /dev/null
+++ b/crates/target/src/connection.rs
@@ -0,0 +1,421 @@
+//! One connection to a target.
+
+use {
+    crate::{
+        message::{ProbeRow, StartRequest, TargetReply, TargetRequest},
+        protocol::{FramingError, StatementProtocol},
+    },
+    banyansill_core::{
+        gateway::TargetError, position::LogPosition, transaction::TransactionStatus,
+    },
+    bytes::{Buf, Bytes, BytesMut},
+    socket2::{SockRef, TcpKeepalive},
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf},
+        net::TcpStream,
+        time,
+    },
+};
+
+/// Largest answer that is gathered; targets accept messages of 1 MiB.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Initial capacity of the buffers; most messages are a few hundred bytes.
+const BUFFER_CAPACITY: usize = 1_024;
+
+/// Idle time before keep-alive probes; with the next two a silent path is noticed within 3 s.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Interval between keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered keep-alive probes after which a connection is lost.
+const KEEPALIVE_COUNT: u32 = 2;
+
+/// Time after which sent bytes that were not acknowledged end the connection.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Limits of opening a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionOptions {
+    /// Time for the TCP connection.
+    pub connect_timeout: Duration,
+    /// Time for the target's answer to the introduction.
+    pub start_timeout: Duration,
+}
+
+/// Connection that was not opened.
+#[derive(Debug, Error)]
+pub enum ConnectError {
+    /// The address did not answer or refused.
+    #[error("connection to {address}: {source}")]
+    Unreachable {
+        /// Address.
+        address: String,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The target refused.
+    #[error("refused by the target: {0:?}")]
+    Refused(TargetError),
+}
+
+/// Exchange that ended without a whole answer.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// The connection broke or was closed.
+    #[error("connection lost: {0}")]
+    Lost(#[from] io::Error),
+    /// The target sent what is no answer.
+    #[error("answer of the target: {0}")]
+    Framing(#[from] FramingError),
+}
+
+/// Whole answer to one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementAnswer {
+    /// Rows in order.
+    pub rows: Vec<Bytes>,
+    /// The target's signature, or its failure.
+    pub outcome: Result<Bytes, (TargetError, Bytes)>,
+    /// Transaction status after the statement.
+    pub status: TransactionStatus,
+    /// Position of the target's log.
+    pub position: Option<LogPosition>,
+}
+
+/// Way to a target.
+#[derive(Debug)]
+pub enum TargetStream {
+    /// Own connection.
+    Direct(TcpStream),
+    /// Connection of another entry.
+    Relayed(DuplexStream),
+    /// No connection any more.
+    Closed,
+}
+
+impl AsyncRead for TargetStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Relayed(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Closed => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+impl AsyncWrite for TargetStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_write(context, bytes),
+            Self::Relayed(stream) => Pin::new(stream).poll_write(context, bytes),
+            Self::Closed => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_flush(context),
+            Self::Relayed(stream) => Pin::new(stream).poll_flush(context),
+            Self::Closed => Poll::Ready(Ok(())),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Relayed(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Closed => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+/// Open connection to a target.
+#[derive(Debug)]
+pub struct TargetConnection<P> {
+    protocol: P,
+    stream: TargetStream,
+    input: BytesMut,
+    output: BytesMut,
+    /// Requests without a whole answer.
+    outstanding: u32,
+    status: TransactionStatus,
+    position: Option<LogPosition>,
+}
+
+impl<P> TargetConnection<P>
+where
+    P: StatementProtocol,
+{
+    /// Connects to a target and introduces itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address does not answer in time or the target refuses.
+    pub async fn open(
+        address: SocketAddr,
+        start: &StartRequest,
+        protocol: P,
+        options: ConnectionOptions,
+    ) -> Result<Self, ConnectError> {
+        let unreachable =
+            |source| ConnectError::Unreachable { address: address.to_string(), source };
+        let stream = within(options.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(unreachable)?;
+        set_options(&stream).map_err(unreachable)?;
+        let mut connection = Self::on_stream(TargetStream::Direct(stream), protocol);
+        connection.send(TargetRequest::Start(start));
+        // The answer to an introduction is a single message.
+        let started = async {
+            connection.flush().await?;
+            let reply = connection.reply().await.map_err(io::Error::other)?;
+            Ok(reply)
+        };
+        let reply = within(options.start_timeout, started).await.map_err(unreachable)?;
+        match reply {
+            TargetReply::Ready { status, position } => {
+                connection.outstanding = 0;
+                connection.status = status;
+                connection.position = position;
+                Ok(connection)
+            }
+            TargetReply::Failure { error, .. } => Err(ConnectError::Refused(error)),
+            TargetReply::Row(_) | TargetReply::Complete(_) => {
+                Err(unreachable(io::Error::other("the target did not introduce itself")))
+            }
+        }
+    }
+
+    /// Creates what stands for a connection that is gone.
+    #[must_use]
+    pub fn closed(protocol: P) -> Self {
+        Self::on_stream(TargetStream::Closed, protocol)
+    }
+
+    /// Returns whether this only stands for a connection that is gone.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        matches!(self.stream, TargetStream::Closed)
+    }
+
+    /// Takes over a stream on which the target has been introduced already.
+    #[must_use]
+    pub fn on_stream(stream: TargetStream, protocol: P) -> Self {
+        Self {
+            protocol,
+            stream,
+            input: BytesMut::with_capacity(BUFFER_CAPACITY),
+            output: BytesMut::with_capacity(BUFFER_CAPACITY),
+            outstanding: 0,
+            status: TransactionStatus::Idle,
+            position: None,
+        }
+    }
+
+    /// Returns the transaction status after the last answer.
+    #[must_use]
+    pub const fn status(&self) -> TransactionStatus {
+        self.status
+    }
+
+    /// Returns the position of the target's log at the last answer.
+    #[must_use]
+    pub const fn position(&self) -> Option<LogPosition> {
+        self.position
+    }
+
+    /// Returns whether nothing is outstanding and no transaction is open.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.outstanding == 0
+            && self.status == TransactionStatus::Idle
+            && self.input.is_empty()
+            && self.output.is_empty()
+    }
+
+    /// Appends a request to the output, which [`Self::flush`] or [`Self::answer`] sends.
+    pub fn send(&mut self, request: TargetRequest<'_>) {
+        self.protocol.encode_request(request, &mut self.output);
+        self.outstanding += 1;
+    }
+
+    /// Sends the appended requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke.
+    pub async fn flush(&mut self) -> io::Result<()> {
+        if self.output.is_empty() {
+            return Ok(());
+        }
+        self.stream.write_all_buf(&mut self.output).await
+    }
+
+    /// Sends what is appended and returns the answer to the oldest outstanding request.
+    ///
+    /// A connection whose call was cancelled is not clean any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke or the bytes are no answer.
+    pub async fn answer(&mut self) -> Result<StatementAnswer, ExchangeError> {
+        self.flush().await?;
+        let mut rows = Vec::new();
+        let mut size = 0;
+        let mut outcome = None;
+        loop {
+            match self.reply().await? {
+                TargetReply::Row(row) => {
+                    size += row.len();
+                    if size > ANSWER_LIMIT {
+                        return Err(ExchangeError::Framing(FramingError::TooLarge));
+                    }
+                    rows.push(row);
+                }
+                TargetReply::Complete(signature) => outcome = Some(Ok(signature)),
+                TargetReply::Failure { error, detail } => outcome = Some(Err((error, detail))),
+                TargetReply::Ready { status, position } => {
+                    let outcome = outcome.ok_or(FramingError::Malformed)?;
+                    self.outstanding = self.outstanding.saturating_sub(1);
+                    self.status = status;
+                    self.position = position;
+                    return Ok(StatementAnswer { rows, outcome, status, position });
+                }
+            }
+        }
+    }
+
+    /// Runs a request that has no rows of interest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke or the bytes are no answer.
+    pub async fn run(
+        &mut self,
+        request: TargetRequest<'_>,
+    ) -> Result<StatementAnswer, ExchangeError> {
+        self.send(request);
+        self.answer().await
+    }
+
+    /// Runs a request that is answered with a [`ProbeRow`]; `None` if the target refused it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke or the bytes are no answer.
+    pub async fn probe(
+        &mut self,
+        request: TargetRequest<'_>,
+    ) -> Result<Option<ProbeRow>, ExchangeError> {
+        let answer = self.run(request).await?;
+        let row = answer.rows.first().filter(|_| answer.outcome.is_ok());
+        Ok(row.and_then(|row| self.protocol.decode_probe(row)))
+    }
+
+    /// Returns whether the connection is clean and the target has not closed it.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        let quiet = match &self.stream {
+            TargetStream::Direct(stream) => {
+                let waiting = stream.try_read(&mut [0; 1]);
+                waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+            }
+            // The other entry looks at its own connection.
+            TargetStream::Relayed(_) => true,
+            TargetStream::Closed => false,
+        };
+        quiet && self.is_clean()
+    }
+
+    /// Closes the connection at once.
+    pub fn close(&mut self) {
+        self.stream = TargetStream::Closed;
+    }
+
+    /// Tells the target that the connection ends and closes it.
+    pub async fn end(mut self) {
+        self.send(TargetRequest::End);
+        let _ = self.flush().await;
+    }
+
+    /// Passes bytes to the target that another process encoded.
+    ///
+    /// The connection is not clean until [`Self::restore`] is called.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke.
+    pub async fn write_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.outstanding = u32::MAX;
+        self.stream.write_all(bytes).await
+    }
+
+    /// Returns bytes of the target as they come; none if the target closed the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke.
+    pub async fn read_raw(&mut self) -> io::Result<Bytes> {
+        let mut bytes = BytesMut::with_capacity(BUFFER_CAPACITY);
+        self.stream.read_buf(&mut bytes).await?;
+        Ok(bytes.freeze())
+    }
+
+    /// Takes the connection back from another process, which left it clean.
+    pub const fn restore(&mut self) {
+        self.outstanding = 0;
+    }
+
+    async fn reply(&mut self) -> Result<TargetReply, ExchangeError> {
+        loop {
+            if let Some((reply, size)) = self.protocol.decode_reply(&self.input)? {
+                self.input.advance(size);
+                return Ok(reply);
+            }
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+}
+
+/// Sets the options of a TCP connection whose other end may vanish without a word.
+///
+/// # Errors
+///
+/// Returns an error if the system refuses an option.
+pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_COUNT);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SEND_TIMEOUT))
+}
+
+async fn within<T, F>(limit: Duration, future: F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    time::timeout(limit, future).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- /dev/null
+++ b/crates/wire/src/directory.rs
@@ -0,0 +1,210 @@
+//! Conversions between the directory's protocol and core types.
+
+use {
+    crate::directory_v1 as v1,
+    banyansill_core::{
+        directory::{
+            DirectoryUpdate, GroupRule, GroupView, ProcessHost, ReadRule, ReportOrder, RouteLimits,
+            RouteRule, TargetReport, TargetState,
+        },
+        names::SharedName,
+        position::LogPosition,
+        route::TargetRole,
+        time::Micros,
+    },
+};
+
+impl From<LogPosition> for v1::Position {
+    fn from(position: LogPosition) -> Self {
+        Self { term: position.term.0, offset: position.offset }
+    }
+}
+
+impl From<v1::Position> for LogPosition {
+    fn from(position: v1::Position) -> Self {
+        Self::new(position.term, position.offset)
+    }
+}
+
+impl From<ProcessHost> for v1::Process {
+    fn from(process: ProcessHost) -> Self {
+        Self {
+            host: process.host.to_string(),
+            address: process.address.to_string(),
+            zone: process.zone.to_string(),
+        }
+    }
+}
+
+impl From<v1::Process> for ProcessHost {
+    fn from(process: v1::Process) -> Self {
+        Self {
+            host: process.host.into(),
+            address: process.address.into(),
+            zone: process.zone.into(),
+        }
+    }
+}
+
+impl From<RouteRule> for v1::Route {
+    fn from(rule: RouteRule) -> Self {
+        let reads = match rule.reads {
+            ReadRule::Latest => v1::ReadKind::Latest,
+            ReadRule::Bounded { .. } => v1::ReadKind::Bounded,
+            ReadRule::Session { .. } => v1::ReadKind::Session,
+        };
+        Self {
+            database: rule.database.to_string(),
+            path: rule.path.to_string(),
+            group: rule.group.to_string(),
+            reads: reads.into(),
+            max_age_us: rule.reads.max_age().0,
+            statement_timeout_us: rule.statement_timeout.0,
+            latency_goal_us: rule.latency_goal.0,
+            priority: rule.priority,
+        }
+    }
+}
+
+impl From<v1::Route> for RouteRule {
+    fn from(route: v1::Route) -> Self {
+        let max_age = Micros(route.max_age_us);
+        let reads = match route.reads() {
+            v1::ReadKind::Latest => ReadRule::Latest,
+            v1::ReadKind::Bounded => ReadRule::Bounded { max_age },
+            v1::ReadKind::Session => ReadRule::Session { max_age },
+        };
+        Self {
+            database: route.database.into(),
+            path: route.path.into(),
+            group: route.group.into(),
+            reads,
+            statement_timeout: Micros(route.statement_timeout_us),
+            latency_goal: Micros(route.latency_goal_us),
+            priority: route.priority,
+        }
+    }
+}
+
+impl From<GroupRule> for v1::Rule {
+    fn from(rule: GroupRule) -> Self {
+        Self {
+            group: rule.group.to_string(),
+            connections: rule.connections,
+            sync_replicas: rule.sync_replicas,
+        }
+    }
+}
+
+impl From<v1::Rule> for GroupRule {
+    fn from(rule: v1::Rule) -> Self {
+        Self {
+            group: rule.group.into(),
+            connections: rule.connections,
+            sync_replicas: rule.sync_replicas,
+        }
+    }
+}
+
+impl From<TargetReport> for v1::Target {
+    fn from(report: TargetReport) -> Self {
+        Self {
+            target: report.target.to_string(),
+            group: report.group.to_string(),
+            address: report.address.to_string(),
+            zone: report.zone.to_string(),
+            slots: report.slots,
+            draining: report.state == TargetState::Draining,
+            primary: report.role == TargetRole::Primary,
+            incarnation: report.order.incarnation,
+            sequence: report.order.sequence,
+        }
+    }
+}
+
+impl From<v1::Target> for TargetReport {
+    fn from(target: v1::Target) -> Self {
+        Self {
+            target: target.target.into(),
+            group: target.group.into(),
+            address: target.address.into(),
+            zone: target.zone.into(),
+            slots: target.slots,
+            state: if target.draining { TargetState::Draining } else { TargetState::Ready },
+            role: if target.primary { TargetRole::Primary } else { TargetRole::Replica },
+            order: ReportOrder { incarnation: target.incarnation, sequence: target.sequence },
+        }
+    }
+}
+
+impl From<GroupView> for v1::Group {
+    fn from(view: GroupView) -> Self {
+        Self {
+            group: view.group.to_string(),
+            primary: view.primary.map(|name| name.to_string()).unwrap_or_default(),
+            changing: view.changing,
+        }
+    }
+}
+
+impl From<v1::Group> for GroupView {
+    fn from(group: v1::Group) -> Self {
+        let primary = (!group.primary.is_empty()).then(|| group.primary.into());
+        Self { group: group.group.into(), primary, changing: group.changing }
+    }
+}
+
+impl From<DirectoryUpdate> for v1::FollowReply {
+    fn from(update: DirectoryUpdate) -> Self {
+        Self {
+            reset: update.reset,
+            version: update.version,
+            book_version: update.book_version,
+            idle_transaction_us: update.limits.idle_transaction.0,
+            routes: converted(update.routes),
+            removed_routes: texts(update.removed_routes),
+            rules: converted(update.rules),
+            removed_rules: texts(update.removed_rules),
+            targets: converted(update.targets),
+            removed_targets: texts(update.removed_targets),
+            groups: converted(update.groups),
+            entries: converted(update.entries),
+            removed_entries: texts(update.removed_entries),
+            controls: converted(update.controls),
+            removed_controls: texts(update.removed_controls),
+        }
+    }
+}
+
+impl From<v1::FollowReply> for DirectoryUpdate {
+    fn from(reply: v1::FollowReply) -> Self {
+        Self {
+            reset: reply.reset,
+            version: reply.version,
+            book_version: reply.book_version,
+            limits: RouteLimits { idle_transaction: Micros(reply.idle_transaction_us) },
+            routes: converted(reply.routes),
+            removed_routes: converted(reply.removed_routes),
+            rules: converted(reply.rules),
+            removed_rules: converted(reply.removed_rules),
+            targets: converted(reply.targets),
+            removed_targets: converted(reply.removed_targets),
+            groups: converted(reply.groups),
+            entries: converted(reply.entries),
+            removed_entries: converted(reply.removed_entries),
+            controls: converted(reply.controls),
+            removed_controls: converted(reply.removed_controls),
+        }
+    }
+}
+
+fn converted<A, B>(items: Vec<A>) -> Vec<B>
+where
+    B: From<A>,
+{
+    items.into_iter().map(B::from).collect()
+}
+
+fn texts(names: Vec<SharedName>) -> Vec<String> {
+    names.into_iter().map(|name| name.to_string()).collect()
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -17,7 +17,8 @@
         println!("xtask {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let descriptors = protox::compile(["banyansill.proto"], ["crates/wire/proto"])?;
+    let descriptors =
+        protox::compile(["banyansill.proto", "directory.proto"], ["crates/wire/proto"])?;
     tonic_prost_build::configure()
         .bytes(".")
         .out_dir("crates/wire/src/generated")
