--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -36,6 +36,7 @@
         }));
         self.leader = Some(self.identity);
         self.heard_leader = None;
+        self.led = true;
         self.announce_role();
         self.append_own(vec![EntryPayload::Empty]);
         self.broadcast_round(now);
--- a/crates/core/src/consensus/machine.rs
+++ b/crates/core/src/consensus/machine.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ELECTION_MAX, ELECTION_MIN, LEADER_HEARTBEAT,
+        ELECTION_MAX, ELECTION_MIN, FIRST_ELECTION_MAX, FIRST_ELECTION_MIN, LEADER_HEARTBEAT,
         entry_log::EntryLog,
         progress::{PeerProgress, RoundTable},
         reads::ReadQueue,
@@ -61,6 +61,8 @@
     /// When the leader was last heard, or a vote was granted, or an election started.
     pub(super) timer_start: Micros,
     pub(super) heard_leader: Option<Micros>,
+    /// Whether this replica has led since it started.
+    pub(super) led: bool,
     pub(super) timeout: Micros,
     pub(super) failed: bool,
     pub(super) issued: u64,
@@ -102,7 +104,8 @@
             leader: None,
             timer_start: now,
             heard_leader: None,
-            timeout: if alone { Micros::ZERO } else { random_timeout(random) },
+            led: false,
+            timeout: if alone { Micros::ZERO } else { first_timeout(random) },
             failed: false,
             issued: 0,
             synced: 0,
@@ -264,7 +267,9 @@
             return;
         }
         if now.since(self.timer_start) >= self.timeout {
-            self.timeout = random_timeout(random);
+            // Until a leader was heard, nobody is known whose place an early election would take.
+            let started = self.heard_leader.is_none() && !self.led;
+            self.timeout = if started { first_timeout(random) } else { random_timeout(random) };
             self.start_pre_vote(now);
         }
     }
@@ -438,6 +443,11 @@
     }
 }
 
+const fn first_timeout(random: u64) -> Micros {
+    let span = FIRST_ELECTION_MAX.0 - FIRST_ELECTION_MIN.0;
+    Micros(FIRST_ELECTION_MIN.0 + random % (span + 1))
+}
+
 const fn random_timeout(random: u64) -> Micros {
     let span = ELECTION_MAX.0 - ELECTION_MIN.0;
     Micros(ELECTION_MIN.0 + random % (span + 1))
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -37,6 +37,15 @@
 /// Longest election timeout; a leader without a majority for this long steps down.
 pub const ELECTION_MAX: Micros = Micros::from_millis(800);
 
+/// Shortest election timeout of a replica that has heard no leader since it started.
+///
+/// When all replicas start together nobody serves until one is elected. A running leader reaches a
+/// replica that restarts within two heartbeats, and its followers refuse the early pre-vote.
+pub const FIRST_ELECTION_MIN: Micros = Micros::from_millis(150);
+
+/// Longest election timeout of a replica that has heard no leader since it started.
+pub const FIRST_ELECTION_MAX: Micros = Micros::from_millis(350);
+
 /// Append messages in flight to one follower.
 pub const APPEND_WINDOW: usize = 16;
 
--- a/crates/core/src/directory/failover.rs
+++ b/crates/core/src/directory/failover.rs
@@ -2,19 +2,20 @@
 
 use crate::{names::SharedName, position::LogPosition, time::Micros};
 
-/// Time for which control's own tries fail before the primary counts as lost; two probes and a fresh
-/// connection over 20 ms fit.
-const SILENT_PATIENCE: Micros = Micros::from_millis(700);
+/// Time for which control's own tries fail before the primary counts as lost: a look at the kept
+/// connection and two fresh ones.
+const SILENT_PATIENCE: Micros = Micros::from_millis(600);
 
 /// The same if the address refuses connections: the host answers for a process that is gone.
 const REFUSING_PATIENCE: Micros = Micros::from_millis(250);
 
-/// Time for which an entry's tries fail before it counts against the primary.
-pub const ENTRY_PATIENCE: Micros = Micros::from_millis(300);
+/// Time for which an entry's tries fail before it counts against the primary. An entry tries a fresh
+/// connection only after 300 ms without an answer.
+pub const ENTRY_PATIENCE: Micros = Micros::from_millis(200);
 
 /// Part of the entries that must fail as well if control fails, in percent. A primary that control
-/// alone cannot reach serves on.
-const CONFIRMING_PERCENT: u32 = 50;
+/// alone cannot reach serves on; entries without traffic notice late that they cannot.
+const CONFIRMING_PERCENT: u32 = 34;
 
 /// Part of the entries whose failures alone replace a primary that control reaches, in percent.
 const OVERRULING_PERCENT: u32 = 80;
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod freshness;
 mod health;
+mod limit;
 mod placement;
 mod share;
 mod table;
@@ -15,6 +16,7 @@
     attempt::{AttemptEnd, NextStep, StatementWork, TargetError, next_step},
     freshness::{FreshnessLog, FreshnessMark},
     health::{HealthChange, TargetHealth},
+    limit::AdaptiveLimit,
     placement::{Distance, ReadCandidate, order_candidates},
     share::{ConnectionShare, connection_share, rendezvous_weight},
     table::{GroupRoute, RoutingTable},
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -66,7 +66,8 @@
     }
 
     /// Returns whether the target is known to lack a position.
-    fn lacks(&self, floor: Option<LogPosition>) -> bool {
+    #[must_use]
+    pub fn lacks(&self, floor: Option<LogPosition>) -> bool {
         matches!((self.position, floor), (Some(position), Some(floor)) if position < floor)
     }
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -123,6 +123,10 @@
             sleep(RECORD_LOOK).await;
             continue;
         }
+        if node.log.status().borrow().leader.is_none() {
+            sleep(RECORD_RETRY).await;
+            continue;
+        }
         let kind = ProcessKind::Entry;
         let command = DirectoryCommand::RecordProcess { kind, process: entry.clone() };
         // Looked at again below.
--- a/crates/directory/src/join.rs
+++ b/crates/directory/src/join.rs
@@ -127,7 +127,8 @@
     let own = node.own.clone();
     let host = own.host.clone();
     let known = node.log.inspect(move |state| state.controls().get(&host).cloned()).await;
-    if known.is_ok_and(|known| known.as_ref() != Some(&own)) {
+    let led = node.log.status().borrow().leader.is_some();
+    if led && known.is_ok_and(|known| known.as_ref() != Some(&own)) {
         let command = DirectoryCommand::RecordProcess { kind: ProcessKind::Control, process: own };
         // Repeated at the next look.
         let _ = node.change(&command, "record of a control replica").await;
--- a/crates/directory/src/probe.rs
+++ b/crates/directory/src/probe.rs
@@ -15,11 +15,11 @@
 };
 
 /// Time for one look on an open connection; regions are 20 ms apart.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+const LOOK_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Limits of a fresh connection. A target with all slots busy answers the introduction late.
 const OPTIONS: ConnectionOptions = ConnectionOptions {
-    connect_timeout: Duration::from_millis(300),
+    connect_timeout: Duration::from_millis(200),
     start_timeout: Duration::from_millis(600),
 };
 
--- a/crates/directory/src/process.rs
+++ b/crates/directory/src/process.rs
@@ -38,7 +38,7 @@
         net::TcpListener,
         sync::watch,
         task::JoinHandle,
-        time::{interval, timeout},
+        time::{interval, sleep, timeout},
     },
     tonic::transport::server::TcpIncoming,
 };
@@ -52,6 +52,9 @@
 /// Interval at which a replica tells the leader what its followers see.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which news of entries are gathered before the leader is told.
+const NEWS_GATHER: Duration = Duration::from_millis(20);
+
 /// Time after which an entry that no replica hears of is taken out of the directory. Its share of the
 /// connections is free then.
 const ENTRY_EXPIRY: Micros = Micros::from_secs(5);
@@ -211,7 +214,11 @@
 {
     let mut ticks = interval(REPORT_INTERVAL);
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            // News of several entries come together.
+            () = followers.news() => sleep(NEWS_GATHER).await,
+        }
         let status = node.log.status().borrow().clone();
         let entries = followers.reports();
         if status.leading {
--- a/crates/directory/src/reach.rs
+++ b/crates/directory/src/reach.rs
@@ -9,6 +9,7 @@
     },
     banyansill_wire::directory_v1 as v1,
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::Notify,
 };
 
 /// Time after which an entry that no replica hears of counts for nothing.
@@ -27,6 +28,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReachTable {
     entries: Arc<Mutex<FastMap<SharedName, EntryReach>>>,
+    news: Arc<Notify>,
 }
 
 impl ReachTable {
@@ -37,7 +39,16 @@
             failing.insert(reach.target.into(), Micros::from_millis(reach.failing_ms.into()));
         }
         let reach = EntryReach { address: report.address.into(), seen: now, failing };
-        self.lock().insert(report.entry.into(), reach);
+        let targets = reach.failing.len();
+        let before = self.lock().insert(report.entry.into(), reach);
+        if before.map_or(0, |before| before.failing.len()) != targets {
+            self.news.notify_one();
+        }
+    }
+
+    /// Waits until an entry reports a target that it did not report before, or no longer does.
+    pub(crate) async fn news(&self) {
+        self.news.notified().await;
     }
 
     /// Forgets an entry whose connection ended.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        pool::{LeaseFailure, LeaseWish, SessionValues, TargetLease, TargetPool},
+        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetLease, TargetPool},
         relay::RelayClients,
         settings::ZoneMap,
     },
@@ -344,22 +344,21 @@
     ) -> Result<(), FailureKind> {
         let table = self.table();
         let leader = self.leader(&table, group, &[]).ok_or(FailureKind::NoPrimary)?;
+        let slot = SlotWish { database: group, priority: 0, deadline: self.now() + limit };
         let wish = LeaseWish {
-            database: group,
-            priority: 0,
-            deadline: self.now() + limit,
+            slot,
             values: &SessionValues::new(),
             trusted_idle: Micros(u64::MAX),
+            transaction: true,
         };
         let lease = leader.lease(&wish).await;
         let mut lease: TargetLease<P> = lease.map_err(|failure: LeaseFailure| failure.kind)?;
         let asked = self.now();
         let begun = timeout(limit.as_duration(), lease.begin(false, None)).await;
-        lease.forget_time();
         match begun {
             Ok(Ok(answer)) => {
                 self.core.freshness(group).record(asked, answer.position);
-                lease.roll_back();
+                lease.settle();
                 Ok(())
             }
             Ok(Err(_)) => Err(FailureKind::NoPrimary),
--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -31,6 +31,8 @@
     values: SessionValues,
     /// Names of the statements prepared on this connection; callers' names may collide.
     prepared: PreparedNames,
+    /// The target may hold other values or statements than these: a change was not answered.
+    uncertain: bool,
     /// Way back if the connection belongs to another entry.
     relay: Option<RelayHandle>,
 }
@@ -45,6 +47,7 @@
             used: now,
             values: SessionValues::new(),
             prepared: PreparedNames::default(),
+            uncertain: false,
             relay: None,
         }
     }
@@ -56,7 +59,7 @@
         (values, prepared): (SessionValues, PreparedNames),
         relay: RelayHandle,
     ) -> Self {
-        Self { connection, used: now, values, prepared, relay: Some(relay) }
+        Self { connection, used: now, values, prepared, uncertain: false, relay: Some(relay) }
     }
 
     /// Returns the session state that the connection carries.
@@ -70,6 +73,11 @@
         self.prepared = prepared;
     }
 
+    /// Returns whether another session may use the connection.
+    pub(crate) fn is_reusable(&self) -> bool {
+        !self.uncertain && !self.connection.is_closed() && self.connection.is_clean()
+    }
+
     /// Creates what stands for a connection that is gone.
     pub(crate) fn closed(protocol: P) -> Self {
         Self::new(TargetConnection::closed(protocol), Micros::ZERO)
@@ -92,6 +100,7 @@
         if self.has_values(values) {
             return Ok(());
         }
+        self.uncertain = true;
         let mut requests = 0;
         if !self.values.is_empty() {
             self.connection.send(TargetRequest::Reset);
@@ -102,22 +111,15 @@
             self.connection.send(TargetRequest::Set { name, value });
             requests += 1;
         }
-        // Unknown until every answer has come.
-        self.values.clear();
         let mut refused = false;
         for _ in 0..requests {
             let answer = self.connection.answer().await.map_err(|_| AttemptEnd::NotSent)?;
             refused |= answer.outcome.is_err();
         }
         if refused {
-            // A request of its own clears what was set before the refusal.
-            let reset = self.connection.run(TargetRequest::Reset).await;
-            self.prepared.clear();
-            if !reset.is_ok_and(|answer| answer.outcome.is_ok()) {
-                self.connection.send(TargetRequest::End);
-            }
             return Err(AttemptEnd::NotSent);
         }
+        self.uncertain = false;
         self.values.clone_from(values);
         Ok(())
     }
@@ -133,10 +135,12 @@
                 continue;
             }
             let request = TargetRequest::Set { name, value };
+            self.uncertain = true;
             let answer = self.connection.run(request).await.map_err(|_| AttemptEnd::NotSent)?;
             if answer.outcome.is_err() {
                 return Err(AttemptEnd::NotSent);
             }
+            self.uncertain = false;
             self.values.insert(name.clone(), value.clone());
         }
         Ok(())
@@ -154,10 +158,12 @@
         let name = format!("p{}", self.prepared.len());
         let request =
             TargetRequest::Prepare { name: &name, access: shape.access, shape: &shape.shape };
+        self.uncertain = true;
         let answer = self.connection.run(request).await.map_err(|_| AttemptEnd::NotSent)?;
         if answer.outcome.is_err() {
             return Err(AttemptEnd::NotSent);
         }
+        self.uncertain = false;
         self.prepared.insert(shape.clone(), name.clone());
         Ok(name)
     }
@@ -170,7 +176,7 @@
     /// Gives the connection back to the entry that it belongs to, or closes it.
     pub(crate) async fn end(self) {
         match self.relay {
-            Some(relay) if self.connection.is_clean() => {
+            Some(relay) if !self.uncertain && self.connection.is_clean() => {
                 relay.release(&self.values, &self.prepared).await;
             }
             Some(_) => {}
@@ -184,11 +190,11 @@
     ///
     /// Returns an error if it does not.
     pub(crate) async fn verify(&mut self) -> Result<(), ExchangeError> {
+        self.uncertain = true;
         let answer = self.connection.run(TargetRequest::Reset).await?;
+        self.uncertain = answer.outcome.is_err();
         self.prepared.clear();
-        if answer.outcome.is_ok() {
-            self.values.clear();
-        }
+        self.values.clear();
         Ok(())
     }
 }
--- a/crates/gateway/src/pool/lease.rs
+++ b/crates/gateway/src/pool/lease.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         connection::PooledConnection,
-        target::{SlotHold, TargetPool},
+        slot::{SlotHold, SlotWish},
+        target::{LeaseFailure, TargetPool},
     },
     banyansill_core::{gateway::AttemptEnd, position::LogPosition, transaction::TransactionStatus},
     banyansill_target::{StatementAnswer, StatementProtocol, TargetRequest},
@@ -11,8 +12,9 @@
     tokio::time::timeout,
 };
 
-/// Time for a rollback whose answer nobody waits for; a connection that takes longer is closed.
-const ROLLBACK_LIMIT: Duration = Duration::from_secs(1);
+/// Time for answers that nobody waits for; a connection that takes longer is closed. A fresh one costs
+/// the target 12 ms of a slot, which a full target has least to spare.
+const SETTLE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Time without an answer after which a fresh connection is tried; most statements take a tenth.
 const SUSPECT_AFTER: Duration = Duration::from_millis(300);
@@ -24,23 +26,43 @@
     P: StatementProtocol,
 {
     pub(crate) pooled: PooledConnection<P>,
-    hold: SlotHold<P>,
+    pool: Rc<TargetPool<P>>,
+    /// Slot of the statement that runs.
+    slot: Option<SlotHold<P>>,
 }
 
 impl<P> TargetLease<P>
 where
     P: StatementProtocol,
 {
-    pub(super) const fn new(pooled: PooledConnection<P>, hold: SlotHold<P>) -> Self {
-        Self { pooled, hold }
+    pub(super) fn new(pooled: PooledConnection<P>, slot: SlotHold<P>) -> Self {
+        let pool = Rc::clone(&slot.pool);
+        Self { pooled, pool, slot: Some(slot) }
     }
 
     /// Returns the pool that the connection belongs to.
     pub(crate) const fn pool(&self) -> &Rc<TargetPool<P>> {
-        &self.hold.pool
+        &self.pool
     }
 
-    /// Sends a request and returns its answer; keeps the time that the target took.
+    /// Waits for a slot for the next statement of a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none in time.
+    pub(crate) async fn take_slot(&mut self, wish: &SlotWish<'_>) -> Result<(), LeaseFailure> {
+        if self.slot.is_none() {
+            self.slot = Some(self.pool.wait_for_slot(wish, true).await?);
+        }
+        Ok(())
+    }
+
+    /// Gives the slot back and keeps the connection.
+    pub(crate) fn release_slot(&mut self) {
+        self.slot = None;
+    }
+
+    /// Sends a request and returns its answer.
     ///
     /// # Errors
     ///
@@ -49,27 +71,28 @@
         &mut self,
         request: TargetRequest<'_>,
     ) -> Result<StatementAnswer, AttemptEnd> {
-        let pool = Rc::clone(&self.hold.pool);
-        let begun = pool.now();
+        let begun = self.pool.now();
         let mut answered = pin!(self.pooled.connection.run(request));
         let result = match timeout(SUSPECT_AFTER, &mut answered).await {
             Ok(result) => result,
             Err(_) => {
-                pool.probe();
+                self.pool.probe();
                 answered.await
             }
         };
         match result {
             Ok(answer) => {
-                let now = pool.now();
-                pool.note_answer(now.since(begun), &answer, now);
-                self.hold.ran = Some(now.since(begun));
+                let now = self.pool.now();
+                self.pool.note_answer(now.since(begun), &answer, now);
+                if let Some(slot) = &mut self.slot {
+                    slot.ran = Some(now.since(begun));
+                }
                 self.pooled.used = now;
                 Ok(answer)
             }
             Err(error) => {
-                log::debug!("target {}: {error}", pool.target);
-                pool.probe();
+                log::debug!("target {}: {error}", self.pool.target);
+                self.pool.probe();
                 Err(AttemptEnd::Lost)
             }
         }
@@ -86,6 +109,10 @@
         floor: Option<LogPosition>,
     ) -> Result<StatementAnswer, AttemptEnd> {
         let answer = self.run(TargetRequest::Begin { read_only, floor }).await;
+        if let Some(slot) = &mut self.slot {
+            // Its time says nothing of the statements that follow.
+            slot.ran = None;
+        }
         match answer {
             Ok(answer) => match &answer.outcome {
                 Ok(_) if answer.status == TransactionStatus::InTransaction => Ok(answer),
@@ -96,22 +123,33 @@
         }
     }
 
-    /// Counts the time of a transaction as unknown: it depends on the caller.
-    pub(crate) const fn forget_time(&mut self) {
-        self.hold.ran = None;
-    }
-
-    /// Rolls the transaction back and frees the connection, without waiting for it.
-    pub(crate) fn roll_back(mut self) {
-        if self.pooled.connection.is_clean() {
+    /// Frees the connection without waiting: takes outstanding answers and rolls an open transaction
+    /// back.
+    pub(crate) fn settle(mut self) {
+        if self.pooled.connection.is_clean() || self.pooled.connection.is_closed() {
             return;
         }
+        if self.pooled.connection.outstanding() == 0 {
+            self.slot = None;
+        }
         tokio::task::spawn_local(async move {
-            let rollback = self.pooled.connection.run(TargetRequest::Rollback);
             // A connection without a whole answer is not clean and is closed, which rolls back too.
-            let _ = timeout(ROLLBACK_LIMIT, rollback).await;
+            let _ = timeout(SETTLE_LIMIT, self.take_answers()).await;
         });
     }
+
+    async fn take_answers(&mut self) {
+        let connection = &mut self.pooled.connection;
+        while connection.outstanding() > 0 {
+            if connection.answer().await.is_err() {
+                return;
+            }
+        }
+        if connection.status() != TransactionStatus::Idle {
+            // Without an answer the connection is closed.
+            let _ = connection.run(TargetRequest::Rollback).await;
+        }
+    }
 }
 
 impl<P> Drop for TargetLease<P>
@@ -119,8 +157,9 @@
     P: StatementProtocol,
 {
     fn drop(&mut self) {
-        let closed = PooledConnection::closed(self.hold.pool.protocol().clone());
+        let closed = PooledConnection::closed(self.pool.protocol().clone());
         let pooled = std::mem::replace(&mut self.pooled, closed);
-        self.hold.pool.put_back(pooled);
+        self.slot = None;
+        self.pool.put_back(pooled);
     }
 }
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -3,11 +3,13 @@
 mod connection;
 mod lease;
 mod opening;
+mod slot;
 mod target;
 
 pub(crate) use {
     connection::{PooledConnection, PreparedShape, SessionValues},
     lease::TargetLease,
     opening::OpenPlan,
+    slot::SlotWish,
     target::{LeaseFailure, LeaseWish, TargetPool},
 };
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -13,8 +13,9 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Time for the TCP connection; regions are 20 ms apart.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for the TCP connection; regions are 20 ms apart, and a lost opening packet is repeated only
+/// after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time for the answer to the introduction, which takes a slot of the target for about 12 ms and may
 /// wait for one.
@@ -38,6 +39,8 @@
     pub(crate) database: SharedName,
     /// Priority of its route.
     pub(crate) priority: u32,
+    /// Whether the connection is for a transaction.
+    pub(crate) transaction: bool,
 }
 
 /// Opens a connection to the target `name`.
--- /dev/null
+++ b/crates/gateway/src/pool/slot.rs
@@ -0,0 +1,49 @@
+//! Slots of a target: the right of one statement to run or queue there.
+
+use {
+    super::target::TargetPool,
+    banyansill_core::{names::SharedName, queue::SlotTicket, time::Micros},
+    banyansill_target::StatementProtocol,
+    std::rc::Rc,
+};
+
+/// What a statement needs of a target's slots.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotWish<'a> {
+    /// Database of the session.
+    pub(crate) database: &'a SharedName,
+    /// Priority of its route.
+    pub(crate) priority: u32,
+    /// Time at which the answer is worthless.
+    pub(crate) deadline: Micros,
+}
+
+/// A place in the queue or a slot; dropping it gives it back.
+#[derive(Debug)]
+pub(crate) struct SlotHold<P>
+where
+    P: StatementProtocol,
+{
+    pub(super) pool: Rc<TargetPool<P>>,
+    pub(super) ticket: SlotTicket,
+    /// Time that the target took.
+    pub(super) ran: Option<Micros>,
+}
+
+impl<P> SlotHold<P>
+where
+    P: StatementProtocol,
+{
+    pub(super) const fn new(pool: Rc<TargetPool<P>>, ticket: SlotTicket) -> Self {
+        Self { pool, ticket, ran: None }
+    }
+}
+
+impl<P> Drop for SlotHold<P>
+where
+    P: StatementProtocol,
+{
+    fn drop(&mut self) {
+        self.pool.end_slot(self.ticket, self.ran);
+    }
+}
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -5,14 +5,15 @@
         connection::{PooledConnection, SessionValues},
         lease::TargetLease,
         opening::{self, OpenFailure, OpenPlan},
+        slot::{SlotHold, SlotWish},
     },
     crate::gateway::GatewayCore,
     banyansill_core::{
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         directory::{TargetReport, TargetState},
         event::EventNumber,
         failure::FailureKind,
-        gateway::{ConnectionShare, HealthChange, TargetError, TargetHealth},
+        gateway::{AdaptiveLimit, ConnectionShare, HealthChange, TargetError, TargetHealth},
         names::SharedName,
         position::LogPosition,
         queue::{QueueRefusal, QueueRules, SlotQueue, SlotRequest, SlotTicket},
@@ -23,8 +24,8 @@
     tokio::{sync::oneshot, time::timeout},
 };
 
-/// Leases that an entry asks of other entries at a time; those queue by their own connections.
-const RELAYED_SLOTS: u32 = 8;
+/// Connections that an entry asks of other entries at a time; those queue by their own.
+const RELAYED_CONNECTIONS: u32 = 8;
 
 /// Time for which a position says how far a replica has come; replicas apply within milliseconds.
 const POSITION_LIFE: Micros = Micros::from_millis(100);
@@ -48,16 +49,14 @@
 /// What a session wants of a connection.
 #[derive(Debug)]
 pub(crate) struct LeaseWish<'a> {
-    /// Database of the session.
-    pub(crate) database: &'a SharedName,
-    /// Priority of its route.
-    pub(crate) priority: u32,
-    /// Time at which the answer is worthless.
-    pub(crate) deadline: Micros,
+    /// What the statement needs of the target's slots.
+    pub(crate) slot: SlotWish<'a>,
     /// Values that the connection should have; others cost a round trip.
     pub(crate) values: &'a SessionValues,
     /// Longest idle time of a connection that is used without a sign of life.
     pub(crate) trusted_idle: Micros,
+    /// Whether the connection is for a transaction, which takes slots statement by statement.
+    pub(crate) transaction: bool,
 }
 
 /// Why no connection was leased; nothing was sent.
@@ -70,16 +69,22 @@
 }
 
 impl LeaseFailure {
-    const fn new(kind: FailureKind) -> Self {
+    pub(crate) const fn new(kind: FailureKind) -> Self {
         Self { kind, retry_after: Micros::ZERO }
     }
 }
 
 #[derive(Debug)]
 struct PoolState<P> {
+    /// Statements that run on the target or wait for it.
     queue: SlotQueue,
     granted: FastMap<SlotTicket, oneshot::Sender<()>>,
+    /// Slots that were given with a claim to a connection which is not taken yet.
+    claims: FastSet<SlotTicket>,
     idle: Vec<PooledConnection<P>>,
+    /// Connections that are idle, leased or being opened.
+    open: u32,
+    limit: AdaptiveLimit,
     health: TargetHealth,
     /// Last known position of the target's log and when it was learnt.
     position: Option<(LogPosition, Micros)>,
@@ -95,6 +100,17 @@
     fn is_closing(&self, now: Micros) -> bool {
         self.closes_at.is_some_and(|closes_at| closes_at <= now)
     }
+
+    /// Returns whether one more session can have a connection.
+    fn has_connection(&self) -> bool {
+        let spare = connections_of(&self.share).saturating_sub(self.open) as usize;
+        self.idle.len() + spare > self.claims.len()
+    }
+
+    /// Forgets connections that are closed.
+    const fn forget(&mut self, count: usize) {
+        self.open = self.open.saturating_sub(count as u32);
+    }
 }
 
 /// Connections to one target and the requests that wait for them.
@@ -121,11 +137,14 @@
         share: ConnectionShare,
         leads: bool,
     ) -> Rc<Self> {
-        let queue = SlotQueue::new(QueueRules::new(slots_of(&share)));
+        let connections = connections_of(&share);
         let state = PoolState {
-            queue,
+            queue: SlotQueue::new(QueueRules::new(connections)),
             granted: FastMap::default(),
+            claims: FastSet::default(),
             idle: Vec::new(),
+            open: 0,
+            limit: AdaptiveLimit::new(connections),
             health: TargetHealth::default(),
             position: None,
             share: share.clone(),
@@ -160,7 +179,9 @@
             dropped.append(&mut state.idle);
         }
         if state.share != share {
-            state.queue.set_slots(slots_of(&share));
+            state.limit.set_most(connections_of(&share));
+            let slots = state.limit.value();
+            state.queue.set_slots(slots);
             state.share = share;
         }
         if report.state == TargetState::Draining {
@@ -173,6 +194,7 @@
         if state.is_closing(now) {
             dropped.append(&mut state.idle);
         }
+        state.forget(dropped.len());
         drop(state);
         close_all(dropped);
         self.start_waiting();
@@ -183,6 +205,7 @@
         let mut state = self.state.borrow_mut();
         state.closes_at = Some(Micros::ZERO);
         let dropped = std::mem::take(&mut state.idle);
+        state.forget(dropped.len());
         drop(state);
         close_all(dropped);
     }
@@ -191,10 +214,11 @@
     pub(crate) fn close_unused(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let (kept, dropped) = std::mem::take(&mut state.idle)
+        let (kept, dropped): (Vec<_>, Vec<_>) = std::mem::take(&mut state.idle)
             .into_iter()
             .partition(|pooled| now.since(pooled.used) < IDLE_LIFE);
         state.idle = kept;
+        state.forget(dropped.len());
         drop(state);
         close_all(dropped);
     }
@@ -208,7 +232,7 @@
     pub(crate) fn load(&self) -> (u32, u32) {
         let state = self.state.borrow();
         let count = state.queue.running() + state.queue.waiting();
-        (u32::try_from(count).unwrap_or(u32::MAX), slots_of(&state.share))
+        (u32::try_from(count).unwrap_or(u32::MAX), state.limit.value())
     }
 
     /// Returns how far the target's log had come, if that is known to be recent.
@@ -229,7 +253,7 @@
         matches!(self.state.borrow().share, ConnectionShare::Direct(_))
     }
 
-    /// Waits for a connection.
+    /// Waits for a connection and a slot.
     ///
     /// # Errors
     ///
@@ -238,32 +262,37 @@
         self: &Rc<Self>,
         wish: &LeaseWish<'_>,
     ) -> Result<TargetLease<P>, LeaseFailure> {
-        let hold = self.wait_for_slot(wish).await?;
-        if let Some(mut pooled) = self.take_idle(wish.values) {
+        let slot = self.wait_for_slot(&wish.slot, false).await?;
+        if let Some(mut pooled) = self.take_idle(slot.ticket, wish.values) {
             let idle = self.now().since(pooled.used);
             if idle < wish.trusted_idle || self.is_alive(&mut pooled, wish).await {
-                return Ok(TargetLease::new(pooled, hold));
+                return Ok(TargetLease::new(pooled, slot));
             }
+            self.put_back(PooledConnection::closed(self.protocol().clone()));
         }
-        let pooled = self.connect(wish).await?;
-        Ok(TargetLease::new(pooled, hold))
+        let pooled = self.connect(wish, slot.ticket).await?;
+        Ok(TargetLease::new(pooled, slot))
     }
 
-    async fn wait_for_slot(
+    /// Waits for a slot; one that `continues` a transaction needs no connection and goes first.
+    pub(super) async fn wait_for_slot(
         self: &Rc<Self>,
-        wish: &LeaseWish<'_>,
+        wish: &SlotWish<'_>,
+        continues: bool,
     ) -> Result<SlotHold<P>, LeaseFailure> {
         let now = self.now();
         let (hold, granted) = {
             let mut state = self.state.borrow_mut();
-            if state.is_closing(now) {
-                return Err(LeaseFailure::new(FailureKind::Leaving));
-            }
-            if !state.health.may_try(now) {
-                return Err(LeaseFailure::new(FailureKind::Unreachable));
-            }
-            if now < state.refused_until {
-                return Err(LeaseFailure::new(FailureKind::TargetRefused));
+            if !continues {
+                if state.is_closing(now) {
+                    return Err(LeaseFailure::new(FailureKind::Leaving));
+                }
+                if !state.health.may_try(now) {
+                    return Err(LeaseFailure::new(FailureKind::Unreachable));
+                }
+                if now < state.refused_until {
+                    return Err(LeaseFailure::new(FailureKind::TargetRefused));
+                }
             }
             let request = SlotRequest {
                 application: wish.database.clone(),
@@ -273,12 +302,12 @@
                 fingerprint: 0,
                 hint: None,
                 limit: None,
-                continues: false,
+                continues,
             };
             let ticket = state.queue.enqueue(request, now).map_err(refusal)?;
             let (sender, granted) = oneshot::channel();
             state.granted.insert(ticket, sender);
-            (SlotHold { pool: Rc::clone(self), ticket, ran: None }, granted)
+            (SlotHold::new(Rc::clone(self), ticket), granted)
         };
         self.start_waiting();
         let left = wish.deadline.since(now).as_duration();
@@ -292,10 +321,14 @@
     fn start_waiting(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        while let Some(start) = state.queue.start_next(now, true) {
+        loop {
+            let fresh = state.has_connection();
+            let Some(start) = state.queue.start_next(now, fresh) else { break };
             let granted = state.granted.remove(&start.ticket);
             if granted.is_none_or(|sender| sender.send(()).is_err()) {
                 state.queue.finish(start.ticket, None);
+            } else if !start.continues {
+                state.claims.insert(start.ticket);
             }
         }
         for ticket in state.queue.take_missed() {
@@ -303,7 +336,19 @@
         }
     }
 
-    fn take_idle(&self, values: &SessionValues) -> Option<PooledConnection<P>> {
+    /// Gives a slot back, or a place in the queue.
+    pub(super) fn end_slot(&self, ticket: SlotTicket, ran: Option<Micros>) {
+        let mut state = self.state.borrow_mut();
+        state.granted.remove(&ticket);
+        state.claims.remove(&ticket);
+        if !state.queue.cancel(ticket) {
+            state.queue.finish(ticket, ran);
+        }
+        drop(state);
+        self.start_waiting();
+    }
+
+    fn take_idle(&self, ticket: SlotTicket, values: &SessionValues) -> Option<PooledConnection<P>> {
         let mut broken = Vec::new();
         let mut state = self.state.borrow_mut();
         let now = self.now();
@@ -317,13 +362,15 @@
             }
             broken.push(pooled);
         };
-        drop(state);
-        drop(broken);
+        state.forget(broken.len());
+        if found.is_some() {
+            state.claims.remove(&ticket);
+        }
         found
     }
 
     async fn is_alive(&self, pooled: &mut PooledConnection<P>, wish: &LeaseWish<'_>) -> bool {
-        let left = wish.deadline.since(self.now()).min(ALIVE_LIMIT);
+        let left = wish.slot.deadline.since(self.now()).min(ALIVE_LIMIT);
         let verified = timeout(left.as_duration(), pooled.verify()).await;
         matches!(verified, Ok(Ok(())))
     }
@@ -332,23 +379,34 @@
     async fn connect(
         self: &Rc<Self>,
         wish: &LeaseWish<'_>,
+        ticket: SlotTicket,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
+        {
+            let mut state = self.state.borrow_mut();
+            state.claims.remove(&ticket);
+            state.open += 1;
+        }
         let (sender, opened) = oneshot::channel();
         let pool = Rc::clone(self);
-        let plan = OpenPlan { database: wish.database.clone(), priority: wish.priority };
+        let plan = OpenPlan {
+            database: wish.slot.database.clone(),
+            priority: wish.slot.priority,
+            transaction: wish.transaction,
+        };
         tokio::task::spawn_local(async move {
             let result = pool.open_connection(&plan).await;
             if let Err(Ok(unwanted)) = sender.send(result) {
                 pool.put_back(unwanted);
             }
         });
-        let left = wish.deadline.since(self.now()).as_duration();
+        let left = wish.slot.deadline.since(self.now()).as_duration();
         match timeout(left, opened).await {
             Ok(Ok(result)) => result,
             _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
         }
     }
 
+    /// Opens a connection that is counted as open already.
     async fn open_connection(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
         let begun = self.now();
         let (address, share) = {
@@ -358,6 +416,9 @@
         let opened = opening::open(&self.core, (&self.group, &self.target), &address, &share, plan);
         let opened = opened.await;
         let now = self.now();
+        if opened.is_err() {
+            self.state.borrow_mut().forget(1);
+        }
         match opened {
             Ok(pooled) => {
                 let change = self.state.borrow_mut().health.reached();
@@ -378,22 +439,31 @@
 
     /// Takes back the connection of a lease.
     pub(super) fn put_back(&self, pooled: PooledConnection<P>) {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        let kept =
-            !state.is_closing(self.now()) && matches!(state.share, ConnectionShare::Direct(_));
-        if kept && pooled.connection.is_clean() && !pooled.connection.is_closed() {
+        let kept = !state.is_closing(now) && matches!(state.share, ConnectionShare::Direct(_));
+        let mut dropped = Vec::new();
+        if kept && pooled.is_reusable() {
             state.idle.push(pooled);
-            return;
+        } else {
+            state.forget(1);
+            dropped.push(pooled);
         }
         drop(state);
-        close_all(vec![pooled]);
+        close_all(dropped);
+        self.start_waiting();
     }
 
     /// Learns from an answer.
     pub(super) fn note_answer(&self, took: Micros, answer: &StatementAnswer, now: Micros) {
         let mut state = self.state.borrow_mut();
         let failed = matches!(answer.outcome, Err((TargetError::Failed, _)));
+        let full = matches!(answer.outcome, Err((TargetError::Busy, _)));
         let change = state.health.answered(took, failed);
+        let latency = state.health.latency();
+        state.limit.record(latency, full, now);
+        let slots = state.limit.value();
+        state.queue.set_slots(slots);
         if let Some(position) = answer.position {
             state.position = Some((position, now));
         }
@@ -415,10 +485,10 @@
                 ""
             );
         }
-        self.report(change, now);
+        self.report(change, begun);
     }
 
-    fn report(&self, change: HealthChange, now: Micros) {
+    fn report(&self, change: HealthChange, since: Micros) {
         if change == HealthChange::None {
             return;
         }
@@ -431,7 +501,7 @@
                 ""
             );
         }
-        let failing = (change == HealthChange::Lost).then_some(now);
+        let failing = (change == HealthChange::Lost).then_some(since);
         self.core.note_reach(&self.group, &self.target, failing);
     }
 
@@ -442,9 +512,10 @@
         if !self.is_direct() || std::mem::replace(&mut self.state.borrow_mut().probing, true) {
             return;
         }
+        self.state.borrow_mut().open += 1;
         let pool = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let plan = OpenPlan { database: pool.group.clone(), priority: 0 };
+            let plan = OpenPlan { database: pool.group.clone(), priority: 0, transaction: false };
             let probed = pool.open_connection(&plan).await;
             pool.state.borrow_mut().probing = false;
             if let Ok(pooled) = probed {
@@ -454,37 +525,10 @@
     }
 }
 
-/// A place in the queue or a slot; dropping it gives it back.
-#[derive(Debug)]
-pub(crate) struct SlotHold<P>
-where
-    P: StatementProtocol,
-{
-    pub(super) pool: Rc<TargetPool<P>>,
-    ticket: SlotTicket,
-    /// Time that the target took.
-    pub(super) ran: Option<Micros>,
-}
-
-impl<P> Drop for SlotHold<P>
-where
-    P: StatementProtocol,
-{
-    fn drop(&mut self) {
-        let mut state = self.pool.state.borrow_mut();
-        state.granted.remove(&self.ticket);
-        if !state.queue.cancel(self.ticket) {
-            state.queue.finish(self.ticket, self.ran);
-        }
-        drop(state);
-        self.pool.start_waiting();
-    }
-}
-
-const fn slots_of(share: &ConnectionShare) -> u32 {
+const fn connections_of(share: &ConnectionShare) -> u32 {
     match share {
         ConnectionShare::Direct(connections) => *connections,
-        ConnectionShare::Relayed(_) => RELAYED_SLOTS,
+        ConnectionShare::Relayed(_) => RELAYED_CONNECTIONS,
     }
 }
 
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -122,6 +122,7 @@
             target: target.to_string(),
             database: plan.database.to_string(),
             priority: plan.priority,
+            transaction: plan.transaction,
             wait_ms: u32::try_from(GRANT_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
         };
         let open = v1::LeaseInput { input: Some(Input::Open(open)) };
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -4,7 +4,7 @@
     super::state,
     crate::{
         gateway::Gateway,
-        pool::{LeaseFailure, LeaseWish, SessionValues, TargetLease},
+        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetLease},
     },
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
     banyansill_target::StatementProtocol,
@@ -104,7 +104,6 @@
         if !self.send(Output::Granted(grant)).await {
             return;
         }
-        lease.forget_time();
         loop {
             tokio::select! {
                 message = self.input.message() => match message.ok().flatten() {
@@ -156,12 +155,20 @@
         return Err(unknown);
     }
     let database = SharedName::from(open.database.as_str());
-    let wish = LeaseWish {
+    let slot = SlotWish {
         database: &database,
         priority: open.priority,
         deadline: gateway.now() + Micros::from_millis(open.wait_ms.into()),
+    };
+    let wish = LeaseWish {
+        slot,
         values: &SessionValues::new(),
         trusted_idle: Micros::from_secs(1),
+        transaction: open.transaction,
     };
-    pool.lease(&wish).await
+    let mut lease = pool.lease(&wish).await?;
+    if open.transaction {
+        lease.release_slot();
+    }
+    Ok(lease)
 }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -4,12 +4,12 @@
     super::{
         codec::CallerCodec,
         listener::{SessionShared, StopStage},
-        outcome::{StatementFailure, StatementResult, StatementTrace},
+        outcome::{StatementFailure, StatementResult, StatementTrace, position_text},
         transaction::OpenTransaction,
     },
     crate::{
         gateway::Gateway,
-        pool::{PreparedShape, SessionValues},
+        pool::{LeaseWish, PreparedShape, SessionValues, SlotWish},
     },
     banyansill_core::{
         collections::FastMap, directory::RouteRule, event::EventNumber, failure::FailureKind,
@@ -336,6 +336,23 @@
         self.deliver(&request.id, begun, &trace, result)
     }
 
+    /// Returns what a statement of the session needs of a target's slots.
+    pub(super) const fn slot_wish(&self, route: &RouteRule, deadline: Micros) -> SlotWish<'_> {
+        SlotWish { database: &self.database, priority: route.priority, deadline }
+    }
+
+    /// Returns what a statement or transaction of the session wants of a connection.
+    pub(super) const fn wish(
+        &self,
+        route: &RouteRule,
+        deadline: Micros,
+        trusted_idle: Micros,
+        transaction: bool,
+    ) -> LeaseWish<'_> {
+        let slot = self.slot_wish(route, deadline);
+        LeaseWish { slot, values: &self.values, trusted_idle, transaction }
+    }
+
     /// Returns the route of the session: that of its transaction, or the one in force.
     pub(super) fn route(&self) -> Option<Arc<RouteRule>> {
         if let TransactionState::Open(open) = &self.transaction {
@@ -370,7 +387,7 @@
             database:display = self.database,
             outcome,
             server:display = trace.target.as_deref().unwrap_or("-"),
-            floor:display = trace.floor.map_or_else(|| "-".to_owned(), |floor| floor.to_string()),
+            floor:display = position_text(trace.floor),
             attempts = trace.attempts,
             hedged = trace.hedged,
             took_us = took.0,
@@ -433,7 +450,7 @@
         if let TransactionState::Open(open) =
             std::mem::replace(&mut self.transaction, TransactionState::None)
         {
-            open.lease.roll_back();
+            open.lease.settle();
         }
         if let SessionEnd::Malformed(error) = end {
             let kind = match error {
--- a/crates/gateway/src/session/outcome.rs
+++ b/crates/gateway/src/session/outcome.rs
@@ -55,3 +55,8 @@
 
 /// Result of a statement.
 pub(super) type StatementResult = Result<StatementAnswer, StatementFailure>;
+
+/// Returns a position as log lines show it.
+pub(super) fn position_text(position: Option<LogPosition>) -> String {
+    position.map_or_else(|| "-".to_owned(), |position| position.to_string())
+}
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         caller::{CallerSession, StatementRequest},
-        outcome::{StatementFailure, StatementResult, StatementTrace},
+        outcome::{StatementFailure, StatementResult, StatementTrace, position_text},
         transaction::{run_body, run_body_at},
     },
     crate::{
         gateway::Gateway,
-        pool::{LeaseFailure, LeaseWish, SessionValues, TargetPool},
+        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetPool},
     },
     banyansill_core::{
         directory::{ReadRule, RouteRule},
@@ -53,17 +53,19 @@
     end: AttemptEnd,
     /// What the target said, or why there was no connection.
     failure: StatementFailure,
+    /// Position of the target's log, if it answered.
+    position: Option<LogPosition>,
 }
 
 impl FailedAttempt {
     const fn new(end: AttemptEnd, kind: FailureKind) -> Self {
-        Self { end, failure: StatementFailure::new(kind) }
+        Self { end, failure: StatementFailure::new(kind), position: None }
     }
 
     const fn unleased(failure: LeaseFailure) -> Self {
         let LeaseFailure { kind, retry_after } = failure;
         let failure = StatementFailure { kind, retry_after, detail: Bytes::new() };
-        Self { end: AttemptEnd::NotSent, failure }
+        Self { end: AttemptEnd::NotSent, failure, position: None }
     }
 }
 
@@ -120,7 +122,7 @@
                     return Err(failed.failure);
                 }
                 NextStep::Retry => {
-                    log_attempt(&request.id, &pool.target, &failed);
+                    log_attempt(&request.id, &pool.target, None, &failed);
                     last = failed.failure;
                     if matches!(failed.end, AttemptEnd::Reported(TargetError::Busy)) {
                         if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
@@ -139,13 +141,7 @@
         pool: &Rc<TargetPool<P>>,
         request: &StatementRequest,
     ) -> AttemptResult {
-        let wish = LeaseWish {
-            database: &self.database,
-            priority: request.route.priority,
-            deadline: request.deadline,
-            values: &self.values,
-            trusted_idle: WRITE_TRUSTED_IDLE,
-        };
+        let wish = self.wish(&request.route, request.deadline, WRITE_TRUSTED_IDLE, false);
         let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let left = request.deadline.since(self.gateway.now()).as_duration();
         let aligned = timeout(left, lease.pooled.align(&self.values)).await;
@@ -157,7 +153,7 @@
         match timeout(left, run_body(&mut lease, request)).await {
             Ok(result) => judge(result),
             Err(_) => {
-                pool.probe();
+                lease.settle();
                 Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
             }
         }
@@ -189,7 +185,7 @@
                     NextStep::GiveUp(kind) => {
                         return Err(StatementFailure { kind, ..failed.failure });
                     }
-                    NextStep::Retry => log_attempt(&request.id, &pool.target, &failed),
+                    NextStep::Retry => log_attempt(&request.id, &pool.target, floor, &failed),
                 }
                 if self.gateway.now() >= request.deadline {
                     return Err(failed.failure);
@@ -233,7 +229,7 @@
         let table = self.gateway.table();
         let Some(group) = table.groups.get(&route.group) else { return Vec::new() };
         let (pools, mut candidates) = self.gateway.read_candidates(&table, group);
-        candidates.retain(|candidate| candidate.reachable);
+        candidates.retain(|candidate| candidate.reachable && !candidate.lacks(floor));
         order_candidates(&mut candidates, floor);
         candidates.iter().map(|candidate| Rc::clone(&pools[candidate.index])).collect()
     }
@@ -340,7 +336,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            log_attempt(&request.id, &pool.target, &last);
+            log_attempt(&request.id, &pool.target, None, &last);
             let budget = self.gateway.take_retry_for(last.end);
             let retry = next_step(StatementWork::Read, last.end, budget);
             let overloaded =
@@ -363,13 +359,7 @@
         pool: &Rc<TargetPool<P>>,
         request: &StatementRequest,
     ) -> AttemptResult {
-        let wish = LeaseWish {
-            database: &self.database,
-            priority: request.route.priority,
-            deadline: request.deadline,
-            values: &self.values,
-            trusted_idle: Micros(u64::MAX),
-        };
+        let wish = self.wish(&request.route, request.deadline, Micros(u64::MAX), false);
         let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let attempt = async {
             lease
@@ -389,10 +379,10 @@
         let asked = self.gateway.now();
         let left = request.deadline.since(asked).as_duration();
         let Ok(result) = timeout(left, attempt).await else {
-            pool.probe();
+            lease.settle();
             return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout));
         };
-        lease.roll_back();
+        lease.settle();
         result
     }
 }
@@ -415,12 +405,16 @@
     P: StatementProtocol,
 {
     async fn run(self) -> AttemptResult {
-        let wish = LeaseWish {
+        let slot = SlotWish {
             database: &self.database,
             priority: self.request.route.priority,
             deadline: self.request.deadline,
+        };
+        let wish = LeaseWish {
+            slot,
             values: &self.values,
             trusted_idle: Micros(u64::MAX),
+            transaction: false,
         };
         let mut lease = self.pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let asked = self.gateway.now();
@@ -436,7 +430,7 @@
         match timeout(left, attempt).await {
             Ok(result) => result,
             Err(_) => {
-                self.pool.probe();
+                lease.settle();
                 Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
             }
         }
@@ -466,7 +460,8 @@
             Ok(_) => Ok(answer),
             Err((error, detail)) => {
                 let failure = StatementFailure { detail, ..StatementFailure::new(error.failure()) };
-                Err(FailedAttempt { end: AttemptEnd::Reported(error), failure })
+                let position = answer.position;
+                Err(FailedAttempt { end: AttemptEnd::Reported(error), failure, position })
             }
         },
         Err(end) => {
@@ -484,14 +479,21 @@
         .unwrap_or_else(|_| Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::ConnectionLost)))
 }
 
-fn log_attempt(id: &Bytes, target: &SharedName, failed: &FailedAttempt) {
+fn log_attempt(
+    id: &Bytes,
+    target: &SharedName,
+    floor: Option<LogPosition>,
+    failed: &FailedAttempt,
+) {
     log::info!(
         target: "request",
         event:display = EventNumber::AttemptFailed,
         request:display = String::from_utf8_lossy(id),
         server:display = target,
         reason = failed.failure.kind.name(),
-        sent = failed.end != AttemptEnd::NotSent;
+        sent = failed.end != AttemptEnd::NotSent,
+        floor:display = position_text(floor),
+        position:display = position_text(failed.position);
         ""
     );
 }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -8,7 +8,7 @@
         },
         outcome::{StatementFailure, StatementResult, StatementTrace},
     },
-    crate::pool::{LeaseWish, TargetLease},
+    crate::pool::TargetLease,
     banyansill_core::{
         directory::{ReadRule, RouteRule},
         event::EventNumber,
@@ -96,13 +96,7 @@
                 }
                 continue;
             };
-            let wish = LeaseWish {
-                database: &self.database,
-                priority: route.priority,
-                deadline,
-                values: &self.values,
-                trusted_idle: TRUSTED_IDLE,
-            };
+            let wish = self.wish(route, deadline, TRUSTED_IDLE, true);
             let left = deadline.since(self.gateway.now()).as_duration();
             let opened = async {
                 let mut lease = pool.lease(&wish).await.map_err(|failure| StatementFailure {
@@ -118,6 +112,7 @@
                     _ => StatementFailure::new(FailureKind::Unreachable),
                 })?;
                 self.gateway.core.freshness(&route.group).record(asked, answer.position);
+                lease.release_slot();
                 Ok(lease)
             };
             last = match timeout(left, opened).await {
@@ -143,18 +138,13 @@
                 return self.open_on_leader(route, deadline).await;
             };
             for pool in self.read_order(route, Some(floor)) {
-                let wish = LeaseWish {
-                    database: &self.database,
-                    priority: route.priority,
-                    deadline,
-                    values: &self.values,
-                    trusted_idle: TRUSTED_IDLE,
-                };
+                let wish = self.wish(route, deadline, TRUSTED_IDLE, true);
                 let left = deadline.since(self.gateway.now()).as_duration();
                 let opened = async {
                     let mut lease = pool.lease(&wish).await.ok()?;
                     lease.pooled.align(&self.values).await.ok()?;
                     lease.begin(true, Some(floor)).await.ok()?;
+                    lease.release_slot();
                     Some(lease)
                 };
                 match timeout(left, opened).await {
@@ -182,6 +172,11 @@
         trace: &mut StatementTrace,
     ) -> StatementResult {
         trace.target = Some(open.lease.pool().target.clone());
+        let wish = self.slot_wish(&request.route, request.deadline);
+        if let Err(failure) = open.lease.take_slot(&wish).await {
+            open.lease.settle();
+            return self.lose_transaction(failure.kind, "no slot");
+        }
         let asked = self.gateway.now();
         let answer = loop {
             trace.attempts += 1;
@@ -191,7 +186,10 @@
                 Ok(Ok(answer)) => answer,
                 // Nothing was committed, so a lost connection means a roll-back.
                 Ok(Err(_)) => return self.lose_transaction(FailureKind::TransactionLost, "lost"),
-                Err(_) => return self.lose_transaction(FailureKind::TransactionLost, "timeout"),
+                Err(_) => {
+                    open.lease.settle();
+                    return self.lose_transaction(FailureKind::TransactionLost, "timeout");
+                }
             };
             let busy = matches!(answer.outcome, Err((TargetError::Busy, _)));
             if !busy || answer.status != TransactionStatus::InTransaction {
@@ -201,7 +199,7 @@
                 break answer;
             }
         };
-        open.lease.forget_time();
+        open.lease.release_slot();
         if open.leads && answer.outcome.is_ok() {
             self.gateway.core.freshness(&open.route.group).record(asked, answer.position);
         }
@@ -211,11 +209,11 @@
                 Ok(answer)
             }
             Ok(_) => {
-                open.lease.roll_back();
+                open.lease.settle();
                 self.lose_transaction(FailureKind::TransactionLost, "left by the target")
             }
             Err((error, detail)) => {
-                open.lease.roll_back();
+                open.lease.settle();
                 self.transaction = TransactionState::Failed;
                 self.log_end("failed", error.failure().name());
                 Err(StatementFailure { detail, ..StatementFailure::new(error.failure()) })
@@ -252,6 +250,12 @@
     ) -> StatementResult {
         trace.target = Some(open.lease.pool().target.clone());
         let deadline = statement_deadline(&open.route, begun);
+        let wish = self.slot_wish(&open.route, deadline);
+        if let Err(failure) = open.lease.take_slot(&wish).await {
+            open.lease.settle();
+            self.log_end("not committed", failure.kind.name());
+            return Err(StatementFailure::new(failure.kind));
+        }
         loop {
             trace.attempts += 1;
             let asked = self.gateway.now();
@@ -263,12 +267,11 @@
                     return Err(StatementFailure::new(FailureKind::ConnectionLost));
                 }
                 Err(_) => {
-                    open.lease.pool().probe();
+                    open.lease.settle();
                     self.log_end("commit in doubt", FailureKind::RunTimeout.name());
                     return Err(StatementFailure::new(FailureKind::RunTimeout));
                 }
             };
-            open.lease.forget_time();
             match answer.outcome.clone() {
                 Ok(_) => {
                     self.note_commit(&open.route, open.leads, asked, &answer);
@@ -279,7 +282,7 @@
                     if answer.status == TransactionStatus::InTransaction
                         && self.gateway.pause(BUSY_RETRY, deadline).await => {}
                 Err((error, detail)) => {
-                    open.lease.roll_back();
+                    open.lease.settle();
                     self.log_end("not committed", error.failure().name());
                     return Err(StatementFailure {
                         detail,
@@ -310,7 +313,7 @@
         match std::mem::replace(&mut self.transaction, TransactionState::None) {
             TransactionState::None => return self.fail_locally(FailureKind::ProtocolViolation),
             TransactionState::Open(open) => {
-                open.lease.roll_back();
+                open.lease.settle();
                 self.log_end("rolled back", "ok");
             }
             TransactionState::Broken(_) | TransactionState::Failed => {}
@@ -333,7 +336,7 @@
         let failure = StatementFailure::new(FailureKind::TransactionLost);
         let state = std::mem::replace(&mut self.transaction, TransactionState::Broken(failure));
         if let TransactionState::Open(open) = state {
-            open.lease.roll_back();
+            open.lease.settle();
             self.log_end("idle for too long", FailureKind::TransactionLost.name());
         }
     }
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -92,6 +92,14 @@
     pub position: Option<LogPosition>,
 }
 
+/// Part of an answer.
+#[derive(Debug, Default)]
+struct PartialAnswer {
+    rows: Vec<Bytes>,
+    size: usize,
+    outcome: Option<Result<Bytes, (TargetError, Bytes)>>,
+}
+
 /// Way to a target.
 #[derive(Debug)]
 pub enum TargetStream {
@@ -156,6 +164,8 @@
     output: BytesMut,
     /// Requests without a whole answer.
     outstanding: u32,
+    /// What has come of the answer to the oldest of them.
+    partial: PartialAnswer,
     status: TransactionStatus,
     position: Option<LogPosition>,
 }
@@ -225,6 +235,7 @@
             input: BytesMut::with_capacity(BUFFER_CAPACITY),
             output: BytesMut::with_capacity(BUFFER_CAPACITY),
             outstanding: 0,
+            partial: PartialAnswer::default(),
             status: TransactionStatus::Idle,
             position: None,
         }
@@ -271,28 +282,28 @@
 
     /// Sends what is appended and returns the answer to the oldest outstanding request.
     ///
-    /// A connection whose call was cancelled is not clean any more.
+    /// Dropping the future loses nothing: a later call goes on with the same answer.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection broke or the bytes are no answer.
     pub async fn answer(&mut self) -> Result<StatementAnswer, ExchangeError> {
         self.flush().await?;
-        let mut rows = Vec::new();
-        let mut size = 0;
-        let mut outcome = None;
         loop {
             match self.reply().await? {
                 TargetReply::Row(row) => {
-                    size += row.len();
-                    if size > ANSWER_LIMIT {
+                    self.partial.size += row.len();
+                    if self.partial.size > ANSWER_LIMIT {
                         return Err(ExchangeError::Framing(FramingError::TooLarge));
                     }
-                    rows.push(row);
+                    self.partial.rows.push(row);
+                }
+                TargetReply::Complete(signature) => self.partial.outcome = Some(Ok(signature)),
+                TargetReply::Failure { error, detail } => {
+                    self.partial.outcome = Some(Err((error, detail)));
                 }
-                TargetReply::Complete(signature) => outcome = Some(Ok(signature)),
-                TargetReply::Failure { error, detail } => outcome = Some(Err((error, detail))),
                 TargetReply::Ready { status, position } => {
+                    let PartialAnswer { rows, outcome, .. } = std::mem::take(&mut self.partial);
                     let outcome = outcome.ok_or(FramingError::Malformed)?;
                     self.outstanding = self.outstanding.saturating_sub(1);
                     self.status = status;
@@ -303,6 +314,12 @@
         }
     }
 
+    /// Returns the number of requests without a whole answer.
+    #[must_use]
+    pub const fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
     /// Runs a request that has no rows of interest.
     ///
     /// # Errors
