--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,6 +165,16 @@
         self.table.borrow().clone()
     }
 
+    /// Returns the table once it has routes, or as it is after `patience`.
+    pub(crate) async fn routes_within(&self, patience: Duration) -> Arc<RoutingTable> {
+        let mut table = self.table.clone();
+        let known = timeout(patience, table.wait_for(|table| table.book_version > 0)).await;
+        match known {
+            Ok(Ok(table)) => Arc::clone(&table),
+            _ => self.table(),
+        }
+    }
+
     /// Follows the table and looks after the pools until the process ends.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut table = self.table.clone();
@@ -189,6 +199,14 @@
     }
 
     fn apply(&self, table: &RoutingTable) {
+        for route in table.groups.values() {
+            if route.rule.is_none() {
+                continue;
+            }
+            for report in route.readable() {
+                self.pool(table, route, report).warm_up();
+            }
+        }
         for pool in self.all_pools() {
             let route = table.groups.get(&pool.group);
             let report = route.and_then(|route| route.target(&pool.target));
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -505,6 +505,19 @@
         self.core.note_reach(&self.group, &self.target, failing);
     }
 
+    /// Opens a first connection before anybody asks for one.
+    ///
+    /// A target that is asked by all entries at once gives each set-up a slot for 12 ms.
+    pub(crate) fn warm_up(self: &Rc<Self>) {
+        let (open, may_try) = {
+            let state = self.state.borrow();
+            (state.open, state.health.may_try(self.now()))
+        };
+        if open == 0 && may_try {
+            self.probe();
+        }
+    }
+
     /// Tries a fresh connection, after an answer that is late or did not come.
     ///
     /// The connection may have gone silent, or the target may be gone without a word.
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -37,6 +37,10 @@
 /// Time within which a caller must introduce itself.
 const START_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time for which a caller waits for a process that has just started and knows no routes yet; callers
+/// give up after 2 s. All replicas of control together need about half a second to elect a leader.
+const ROUTES_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Part of a statement's time that is kept back, so that the caller has the answer in time.
 const ANSWER_MARGIN: Micros = Micros::from_millis(15);
 
@@ -177,7 +181,7 @@
                 return Err(SessionEnd::Refused);
             }
         }
-        let table = self.gateway.table();
+        let table = self.gateway.routes_within(ROUTES_PATIENCE).await;
         if table.routes.contains_key(&self.database) {
             self.gateway.core.count("sessions.opened");
             self.put_ready(None);
