perf(core): packed routes, room for connections after a loss of power, silent statements of transactions

Cause: each set of routes went to the replicas in other regions as 100 KB and more of JSON; after a loss of power the targets still counted the old connections for 3 s and refused the new ones.

--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -6,7 +6,10 @@
         state::{ProcessHost, ProcessKind},
         targets::TargetReport,
     },
-    crate::names::SharedName,
+    crate::{
+        names::SharedName,
+        pack::{pack, unpack},
+    },
     serde::{Deserialize, Serialize},
     thiserror::Error,
 };
@@ -89,7 +92,7 @@
     /// Returns the command as bytes for the replicated log.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
+        pack(&serde_json::to_vec(self).unwrap_or_default())
     }
 
     /// Reads a command that `encode` wrote.
@@ -98,7 +101,10 @@
     ///
     /// Returns a rejection if the bytes are not a command.
     pub fn decode(bytes: &[u8]) -> Result<Self, DirectoryRejection> {
-        serde_json::from_slice(bytes)
+        let bytes = unpack(bytes).ok_or_else(|| DirectoryRejection::Malformed {
+            detail: "the bytes cannot be unpacked".to_owned(),
+        })?;
+        serde_json::from_slice(&bytes)
             .map_err(|error| DirectoryRejection::Malformed { detail: error.to_string() })
     }
 }
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -10,6 +10,7 @@
         change::{ChangeList, ChangeSet},
         machine::{SnapshotError, StateMachine},
         names::SharedName,
+        pack::{pack, unpack},
         route::TargetRole,
     },
     serde::{Deserialize, Serialize},
@@ -395,12 +396,14 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        serde_json::to_vec(&self.data).unwrap_or_default()
+        pack(&serde_json::to_vec(&self.data).unwrap_or_default())
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), SnapshotError> {
+        let snapshot = unpack(snapshot)
+            .ok_or_else(|| SnapshotError("the bytes cannot be unpacked".to_owned()))?;
         let data: DirectoryData =
-            serde_json::from_slice(snapshot).map_err(|error| SnapshotError(error.to_string()))?;
+            serde_json::from_slice(&snapshot).map_err(|error| SnapshotError(error.to_string()))?;
         self.changes = ChangeList::starting_at(data.version);
         self.data = data;
         Ok(())
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -5,9 +5,10 @@
     std::hash::{BuildHasher, Hasher},
 };
 
-/// Share of a target's connections that entries use, in percent; the rest is left for control and for
-/// entries that have not yet heard of a newcomer.
-const USED_PERCENT: u32 = 85;
+/// Share of a target's connections that entries use, in percent. The rest is left for control, for
+/// entries that have not yet heard of a newcomer, and for entries that restart after a loss of power:
+/// a target drops the connections of a lost host only after 3 s.
+const USED_PERCENT: u32 = 65;
 
 /// Fewest connections that make a direct path useful: one may be held by a transaction.
 const DIRECT_MINIMUM: u32 = 2;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gateway;
 pub mod machine;
 pub mod names;
+pub mod pack;
 pub mod position;
 pub mod promotion;
 pub mod queue;
--- a/crates/gateway/src/pool/lease.rs
+++ b/crates/gateway/src/pool/lease.rs
@@ -13,8 +13,9 @@
 };
 
 /// Time for answers that nobody waits for; a connection that takes longer is closed. A fresh one costs
-/// the target 12 ms of a slot, which a full target has least to spare.
-const SETTLE_LIMIT: Duration = Duration::from_secs(2);
+/// the target 12 ms of a slot, which a full target has least to spare; an answer that was lost never
+/// comes.
+const SETTLE_LIMIT: Duration = Duration::from_millis(500);
 
 /// Time without an answer after which a fresh connection is tried; most statements take a tenth.
 const SUSPECT_AFTER: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -21,7 +21,10 @@
     },
     banyansill_target::{StatementAnswer, StatementProtocol},
     std::{cell::RefCell, rc::Rc},
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
 };
 
 /// Connections that an entry asks of other entries at a time; those queue by their own.
@@ -102,11 +105,17 @@
     }
 
     /// Returns whether one more session can have a connection.
-    fn has_connection(&self) -> bool {
-        let spare = connections_of(&self.share).saturating_sub(self.open) as usize;
+    fn has_connection(&self, now: Micros) -> bool {
+        let most = if self.is_refused(now) { 0 } else { connections_of(&self.share) };
+        let spare = most.saturating_sub(self.open) as usize;
         self.idle.len() + spare > self.claims.len()
     }
 
+    /// Returns whether the target refused a connection a moment ago.
+    fn is_refused(&self, now: Micros) -> bool {
+        now < self.refused_until
+    }
+
     /// Forgets connections that are closed.
     const fn forget(&mut self, count: usize) {
         self.open = self.open.saturating_sub(count as u32);
@@ -245,7 +254,8 @@
     pub(crate) fn is_open(&self) -> bool {
         let state = self.state.borrow();
         let now = self.now();
-        !state.is_closing(now) && state.health.may_try(now) && now >= state.refused_until
+        let refused = state.is_refused(now) && state.open == 0;
+        !state.is_closing(now) && state.health.may_try(now) && !refused
     }
 
     /// Returns whether this entry connects to the target itself.
@@ -290,7 +300,7 @@
                 if !state.health.may_try(now) {
                     return Err(LeaseFailure::new(FailureKind::Unreachable));
                 }
-                if now < state.refused_until {
+                if state.is_refused(now) && state.open == 0 {
                     return Err(LeaseFailure::new(FailureKind::TargetRefused));
                 }
             }
@@ -322,7 +332,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         loop {
-            let fresh = state.has_connection();
+            let fresh = state.has_connection(now);
             let Some(start) = state.queue.start_next(now, fresh) else { break };
             let granted = state.granted.remove(&start.ticket);
             if granted.is_none_or(|sender| sender.send(()).is_err()) {
@@ -407,7 +417,10 @@
     }
 
     /// Opens a connection that is counted as open already.
-    async fn open_connection(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
+    async fn open_connection(
+        self: &Rc<Self>,
+        plan: &OpenPlan,
+    ) -> Result<PooledConnection<P>, LeaseFailure> {
         let begun = self.now();
         let (address, share) = {
             let state = self.state.borrow();
@@ -431,6 +444,11 @@
             }
             Err(OpenFailure::Refused(error)) => {
                 self.state.borrow_mut().refused_until = now + REFUSED_WAIT;
+                let pool = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    sleep(REFUSED_WAIT.as_duration()).await;
+                    pool.start_waiting();
+                });
                 Err(LeaseFailure::new(error.failure()))
             }
             Err(OpenFailure::Relay(failure)) => Err(failure),
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -26,6 +26,13 @@
 /// Idle time of a connection that a transaction uses without a sign of life; its BEGIN is one.
 const TRUSTED_IDLE: Micros = Micros(u64::MAX);
 
+/// Least time without an answer after which a statement of a transaction counts as lost. The caller can
+/// begin again with time left, and nothing is kept.
+const LOST_MINIMUM: Micros = Micros::from_millis(500);
+
+/// Multiple of the average latency after which it counts as lost.
+const LOST_FACTOR: u64 = 12;
+
 /// Wait before a statement is repeated that a full target refused inside a transaction.
 const BUSY_RETRY: Duration = Duration::from_millis(25);
 
@@ -180,15 +187,17 @@
         let asked = self.gateway.now();
         let answer = loop {
             trace.attempts += 1;
-            let left = request.deadline.since(self.gateway.now()).as_duration();
+            let usual = open.lease.pool().health().latency();
+            let patience = Micros(usual.0 * LOST_FACTOR).max(LOST_MINIMUM);
+            let left = request.deadline.since(self.gateway.now()).min(patience).as_duration();
             let attempt = timeout(left, run_body(&mut open.lease, request)).await;
             let answer = match attempt {
                 Ok(Ok(answer)) => answer,
-                // Nothing was committed, so a lost connection means a roll-back.
+                // Nothing was committed, so the end of the connection is a roll-back.
                 Ok(Err(_)) => return self.lose_transaction(FailureKind::TransactionLost, "lost"),
                 Err(_) => {
-                    open.lease.settle();
-                    return self.lose_transaction(FailureKind::TransactionLost, "timeout");
+                    open.lease.pooled.connection.close();
+                    return self.lose_transaction(FailureKind::TransactionLost, "silent");
                 }
             };
             let busy = matches!(answer.outcome, Err((TargetError::Busy, _)));
