perf(gateway): close spare connections after 1.5 s

Cause: connections opened at a peak stayed for 40 s, and after a loss of power the targets counted them beside those of the restarted entries.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,7 +35,7 @@
 };
 
 /// Interval at which unused connections are looked for.
-const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Wait before the same leader is asked again after it refused as a replica.
 const LEADER_RETRY: Duration = Duration::from_millis(40);
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -36,9 +36,13 @@
 /// Idle time after which a connection is looked at before it is used.
 const LOOK_AFTER: Micros = Micros::from_millis(20);
 
-/// Idle time after which a connection is closed; targets close theirs after a minute.
+/// Idle time after which the last idle connection is closed; targets close theirs after a minute.
 const IDLE_LIFE: Micros = Micros::from_secs(40);
 
+/// Idle time after which any other is closed. A target counts the connections of a lost host for 3 s, and
+/// those of all entries together must leave room for the same entries to come back.
+const SPARE_LIFE: Micros = Micros::from_millis(1_500);
+
 /// Time for which a leaving primary is used while another one is promoted; a promotion takes about 1 s
 /// and a leaving target must get no new work after 7 s.
 const LEADER_GRACE: Micros = Micros::from_secs(4);
@@ -222,11 +226,25 @@
     /// Closes connections that nobody has used for long.
     pub(crate) fn close_unused(&self) {
         let now = self.now();
+        let mut dropped = Vec::new();
         let mut state = self.state.borrow_mut();
-        let (kept, dropped): (Vec<_>, Vec<_>) = std::mem::take(&mut state.idle)
-            .into_iter()
-            .partition(|pooled| now.since(pooled.used) < IDLE_LIFE);
-        state.idle = kept;
+        let mut idle = std::mem::take(&mut state.idle);
+        // The one that was used last is at the end.
+        let last = idle.pop();
+        for pooled in idle {
+            if now.since(pooled.used) < SPARE_LIFE {
+                state.idle.push(pooled);
+            } else {
+                dropped.push(pooled);
+            }
+        }
+        if let Some(last) = last {
+            if now.since(last.used) < IDLE_LIFE {
+                state.idle.push(last);
+            } else {
+                dropped.push(last);
+            }
+        }
         state.forget(dropped.len());
         drop(state);
         close_all(dropped);
