feat(gateway): reach a primary through other entries, refuse at once what no target can serve

Cause: a primary cut off from part of the entries was lost to their callers; reads that neither a fresh replica nor the primary's queue could take were tried again until their time was over, up to 40 times. Change: an entry that cannot reach a primary leases connections of others, in the primary's zone first; a read whose last choice refuses it as too late is refused at once with a hint.

--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -86,16 +86,16 @@
         self.errors
     }
 
-    /// Records an answer; `failed` tells that the target ran the statement and reported a failure.
-    pub fn answered(&mut self, latency: Micros, failed: bool) -> HealthChange {
+    /// Records an answer, on whatever path it came; `failed` tells that the target ran the statement and
+    /// reported a failure.
+    pub fn answered(&mut self, latency: Micros, failed: bool) {
         self.latency = average(self.latency.0, latency.0);
         let sample = if failed { WHOLE } else { 0 };
         let errors = average(u64::from(self.errors), u64::from(sample)).0;
         self.errors = u32::try_from(errors).unwrap_or(WHOLE);
-        self.reached()
     }
 
-    /// Records that the target accepted a connection or sent anything.
+    /// Records that the target accepted a connection of this entry or sent anything on it.
     pub const fn reached(&mut self) -> HealthChange {
         self.failures = 0;
         if self.failing_since.take().is_some() {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -18,6 +18,6 @@
     health::{HealthChange, TargetHealth},
     limit::AdaptiveLimit,
     placement::{Distance, ReadCandidate, order_candidates},
-    share::{ConnectionShare, connection_share, rendezvous_weight},
+    share::{ConnectionShare, connection_share, detour_entries, rendezvous_weight},
     table::{GroupRoute, RoutingTable},
 };
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -72,6 +72,23 @@
     ConnectionShare::Relayed(order)
 }
 
+/// Returns the entries that `own` asks to reach a target that it cannot reach itself, the best one first.
+///
+/// Those in the target's zone share fewest links with the path that failed.
+#[must_use]
+pub fn detour_entries(
+    own: &ProcessHost,
+    zone: &SharedName,
+    entries: &[ProcessHost],
+) -> Vec<ProcessHost> {
+    let mut others: Vec<ProcessHost> =
+        entries.iter().filter(|entry| entry.host != own.host).cloned().collect();
+    others.sort_by_cached_key(|entry| {
+        (entry.zone != *zone, rendezvous_weight(&entry.host, &own.host))
+    });
+    others
+}
+
 /// Returns the weight of a pair of names, equal in all processes.
 #[must_use]
 pub fn rendezvous_weight(left: &str, right: &str) -> u64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
         failure::FailureKind,
         gateway::{
             ConnectionShare, FreshnessLog, FreshnessMark, GroupRoute, ReadCandidate, RoutingTable,
-            connection_share,
+            connection_share, detour_entries,
         },
         names::SharedName,
         position::LogPosition,
@@ -213,7 +213,8 @@
             match (route, report) {
                 (Some(route), Some(report)) => {
                     let share = self.share(table, route, report);
-                    pool.update(report, share, route.primary.as_ref() == Some(&report.target));
+                    let leads = route.primary.as_ref() == Some(&report.target);
+                    pool.update(report, share, self.detour(table, report), leads);
                 }
                 _ => {
                     let gone = self.pools.borrow_mut().remove(&pool.target);
@@ -232,11 +233,15 @@
         report: &TargetReport,
     ) -> ConnectionShare {
         let connections = route.rule.as_ref().map_or(DEFAULT_CONNECTIONS, |rule| rule.connections);
-        let mut entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
-        entries.sort_by(|left, right| left.host.cmp(&right.host));
+        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
         connection_share(&self.core.own, &report.target, &report.zone, connections, &entries)
     }
 
+    fn detour(&self, table: &RoutingTable, report: &TargetReport) -> Vec<ProcessHost> {
+        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
+        detour_entries(&self.core.own, &report.zone, &entries)
+    }
+
     /// Returns the pool of a target.
     pub(crate) fn pool(
         &self,
@@ -249,7 +254,8 @@
         }
         let share = self.share(table, route, report);
         let leads = route.primary.as_ref() == Some(&report.target);
-        let pool = TargetPool::new(Rc::clone(&self.core), report, share, leads);
+        let detour = self.detour(table, report);
+        let pool = TargetPool::new(Rc::clone(&self.core), report, share, detour, leads);
         self.pools.borrow_mut().insert(report.target.clone(), Rc::clone(&pool));
         pool
     }
@@ -283,7 +289,7 @@
                 in_flight,
                 capacity,
                 errors: health.errors(),
-                reachable: pool.is_open(),
+                reachable: pool.is_open(false),
                 position: pool.recent_position(),
             });
             pools.push(pool);
@@ -304,7 +310,7 @@
                 continue;
             }
             let pool = self.pool(table, route, report);
-            if pool.is_open() {
+            if pool.is_open(true) {
                 return Some(pool);
             }
         }
@@ -368,6 +374,7 @@
             values: &SessionValues::new(),
             trusted_idle: Micros(u64::MAX),
             transaction: true,
+            detour: true,
         };
         let lease = leader.lease(&wish).await;
         let mut lease: TargetLease<P> = lease.map_err(|failure: LeaseFailure| failure.kind)?;
--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -62,6 +62,11 @@
         Self { connection, used: now, values, prepared, uncertain: false, relay: Some(relay) }
     }
 
+    /// Returns whether the connection belongs to another entry.
+    pub(crate) const fn is_relayed(&self) -> bool {
+        self.relay.is_some()
+    }
+
     /// Returns the session state that the connection carries.
     pub(crate) const fn state(&self) -> (&SessionValues, &PreparedNames) {
         (&self.values, &self.prepared)
--- a/crates/gateway/src/pool/lease.rs
+++ b/crates/gateway/src/pool/lease.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         connection::PooledConnection,
-        slot::{SlotHold, SlotWish},
+        slot::{SlotHold, SlotKind, SlotWish},
         target::{LeaseFailure, TargetPool},
     },
     banyansill_core::{gateway::AttemptEnd, position::LogPosition, transaction::TransactionStatus},
@@ -53,7 +53,7 @@
     /// Returns why there is none in time.
     pub(crate) async fn take_slot(&mut self, wish: &SlotWish<'_>) -> Result<(), LeaseFailure> {
         if self.slot.is_none() {
-            self.slot = Some(self.pool.wait_for_slot(wish, true).await?);
+            self.slot = Some(self.pool.wait_for_slot(wish, SlotKind::Continued).await?);
         }
         Ok(())
     }
@@ -73,6 +73,7 @@
         request: TargetRequest<'_>,
     ) -> Result<StatementAnswer, AttemptEnd> {
         let begun = self.pool.now();
+        let relayed = self.pooled.is_relayed();
         let mut answered = pin!(self.pooled.connection.run(request));
         let result = match timeout(SUSPECT_AFTER, &mut answered).await {
             Ok(result) => result,
@@ -84,7 +85,7 @@
         match result {
             Ok(answer) => {
                 let now = self.pool.now();
-                self.pool.note_answer(now.since(begun), &answer, now);
+                self.pool.note_answer(now.since(begun), &answer, relayed, now);
                 if let Some(slot) = &mut self.slot {
                     slot.ran = Some(now.since(begun));
                 }
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -57,7 +57,7 @@
     match share {
         ConnectionShare::Direct(_) => open_direct(core, name, address).await,
         ConnectionShare::Relayed(entries) => {
-            let opened = core.relay.open(core, entries, name, plan).await;
+            let opened = core.relay.open(core, entries, name, plan, false).await;
             opened.map_err(OpenFailure::Relay)
         }
     }
--- a/crates/gateway/src/pool/slot.rs
+++ b/crates/gateway/src/pool/slot.rs
@@ -18,6 +18,15 @@
     pub(crate) deadline: Micros,
 }
 
+/// What a slot is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SlotKind {
+    /// A statement or transaction that needs a connection, if need be of another entry.
+    Fresh { detour: bool },
+    /// A statement of a transaction, which has a connection and goes first.
+    Continued,
+}
+
 /// A place in the queue or a slot; dropping it gives it back.
 #[derive(Debug)]
 pub(crate) struct SlotHold<P>
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -5,12 +5,12 @@
         connection::{PooledConnection, SessionValues},
         lease::TargetLease,
         opening::{self, OpenFailure, OpenPlan},
-        slot::{SlotHold, SlotWish},
+        slot::{SlotHold, SlotKind, SlotWish},
     },
     crate::gateway::GatewayCore,
     banyansill_core::{
         collections::{FastMap, FastSet},
-        directory::{TargetReport, TargetState},
+        directory::{ProcessHost, TargetReport, TargetState},
         event::EventNumber,
         failure::FailureKind,
         gateway::{AdaptiveLimit, ConnectionShare, HealthChange, TargetError, TargetHealth},
@@ -50,6 +50,9 @@
 /// Wait after a target refused a connection because it has too many.
 const REFUSED_WAIT: Micros = Micros::from_millis(200);
 
+/// Wait after no other entry could reach the target either.
+const DETOUR_PAUSE: Micros = Micros::from_millis(300);
+
 /// Longest wait for a sign of life of an idle connection; regions are 20 ms apart.
 const ALIVE_LIMIT: Micros = Micros::from_millis(250);
 
@@ -64,6 +67,8 @@
     pub(crate) trusted_idle: Micros,
     /// Whether the connection is for a transaction, which takes slots statement by statement.
     pub(crate) transaction: bool,
+    /// Whether another entry may be asked if this one cannot reach the target.
+    pub(crate) detour: bool,
 }
 
 /// Why no connection was leased; nothing was sent.
@@ -101,9 +106,33 @@
     closes_at: Option<Micros>,
     refused_until: Micros,
     probing: bool,
+    /// Entries to ask while this one cannot reach the target.
+    detour: Vec<ProcessHost>,
+    /// Until when asking them is not worth a try.
+    detour_closed_until: Micros,
+}
+
+/// Way to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TargetPath {
+    /// The share's own.
+    Usual,
+    /// Other entries, since this one cannot reach the target.
+    Detour,
 }
 
 impl<P> PoolState<P> {
+    /// Returns the way that a new connection takes, or `None` while no way is worth a try.
+    fn path(&self, now: Micros, detour: bool) -> Option<TargetPath> {
+        if !self.health.is_failing() {
+            return Some(TargetPath::Usual);
+        }
+        if detour && !self.detour.is_empty() && now >= self.detour_closed_until {
+            return Some(TargetPath::Detour);
+        }
+        self.health.may_try(now).then_some(TargetPath::Usual)
+    }
+
     fn is_closing(&self, now: Micros) -> bool {
         self.closes_at.is_some_and(|closes_at| closes_at <= now)
     }
@@ -148,6 +177,7 @@
         core: Rc<GatewayCore<P>>,
         report: &TargetReport,
         share: ConnectionShare,
+        detour: Vec<ProcessHost>,
         leads: bool,
     ) -> Rc<Self> {
         let connections = connections_of(&share);
@@ -165,10 +195,12 @@
             closes_at: None,
             refused_until: Micros::ZERO,
             probing: false,
+            detour: Vec::new(),
+            detour_closed_until: Micros::ZERO,
         };
         let (group, target) = (report.group.clone(), report.target.clone());
         let pool = Rc::new(Self { core, group, target, state: RefCell::new(state) });
-        pool.update(report, share, leads);
+        pool.update(report, share, detour, leads);
         pool
     }
 
@@ -183,7 +215,13 @@
     /// Takes over what the directory says of the target.
     ///
     /// A leaving primary serves on for a while, until another one is promoted.
-    pub(crate) fn update(&self, report: &TargetReport, share: ConnectionShare, leads: bool) {
+    pub(crate) fn update(
+        &self,
+        report: &TargetReport,
+        share: ConnectionShare,
+        detour: Vec<ProcessHost>,
+        leads: bool,
+    ) {
         let now = self.now();
         let mut dropped = Vec::new();
         let mut state = self.state.borrow_mut();
@@ -191,6 +229,7 @@
             state.address = report.address.clone();
             dropped.append(&mut state.idle);
         }
+        state.detour = detour;
         if state.share != share {
             state.limit.set_most(connections_of(&share));
             let slots = state.limit.value();
@@ -268,12 +307,12 @@
         (self.now().since(learnt) < POSITION_LIFE).then_some(position)
     }
 
-    /// Returns whether a statement may be sent to the target now.
-    pub(crate) fn is_open(&self) -> bool {
+    /// Returns whether a statement may be sent to the target now, by other entries too if `detour`.
+    pub(crate) fn is_open(&self, detour: bool) -> bool {
         let state = self.state.borrow();
         let now = self.now();
         let refused = state.is_refused(now) && state.open == 0;
-        !state.is_closing(now) && state.health.may_try(now) && !refused
+        !state.is_closing(now) && state.path(now, detour).is_some() && !refused
     }
 
     /// Returns whether this entry connects to the target itself.
@@ -290,7 +329,7 @@
         self: &Rc<Self>,
         wish: &LeaseWish<'_>,
     ) -> Result<TargetLease<P>, LeaseFailure> {
-        let slot = self.wait_for_slot(&wish.slot, false).await?;
+        let slot = self.wait_for_slot(&wish.slot, SlotKind::Fresh { detour: wish.detour }).await?;
         if let Some(mut pooled) = self.take_idle(slot.ticket, wish.values) {
             let idle = self.now().since(pooled.used);
             if idle < wish.trusted_idle || self.is_alive(&mut pooled, wish).await {
@@ -302,20 +341,20 @@
         Ok(TargetLease::new(pooled, slot))
     }
 
-    /// Waits for a slot; one that `continues` a transaction needs no connection and goes first.
+    /// Waits for a slot.
     pub(super) async fn wait_for_slot(
         self: &Rc<Self>,
         wish: &SlotWish<'_>,
-        continues: bool,
+        kind: SlotKind,
     ) -> Result<SlotHold<P>, LeaseFailure> {
         let now = self.now();
         let (hold, granted) = {
             let mut state = self.state.borrow_mut();
-            if !continues {
+            if let SlotKind::Fresh { detour } = kind {
                 if state.is_closing(now) {
                     return Err(LeaseFailure::new(FailureKind::Leaving));
                 }
-                if !state.health.may_try(now) {
+                if state.path(now, detour).is_none() {
                     return Err(LeaseFailure::new(FailureKind::Unreachable));
                 }
                 if state.is_refused(now) && state.open == 0 {
@@ -330,7 +369,7 @@
                 fingerprint: 0,
                 hint: None,
                 limit: None,
-                continues,
+                continues: kind == SlotKind::Continued,
             };
             let ticket = state.queue.enqueue(request, now).map_err(refusal)?;
             let (sender, granted) = oneshot::channel();
@@ -414,6 +453,10 @@
             state.claims.remove(&ticket);
             state.open += 1;
         }
+        let path = self.state.borrow().path(self.now(), wish.detour);
+        if path == Some(TargetPath::Detour) {
+            self.probe();
+        }
         let (sender, opened) = oneshot::channel();
         let pool = Rc::clone(self);
         let plan = OpenPlan {
@@ -422,7 +465,10 @@
             transaction: wish.transaction,
         };
         tokio::task::spawn_local(async move {
-            let result = pool.open_connection(&plan).await;
+            let result = match path {
+                Some(TargetPath::Detour) => pool.open_detour(&plan).await,
+                _ => pool.open_connection(&plan).await,
+            };
             if let Err(Ok(unwanted)) = sender.send(result) {
                 pool.put_back(unwanted);
             }
@@ -473,13 +519,27 @@
         }
     }
 
+    /// Leases a connection of another entry that is counted as open already.
+    async fn open_detour(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
+        let entries = self.state.borrow().detour.clone();
+        let name = (&self.group, &self.target);
+        let opened = self.core.relay.open(&self.core, &entries, name, plan, true).await;
+        self.core.count("connections.detour");
+        if opened.is_err() {
+            let mut state = self.state.borrow_mut();
+            state.forget(1);
+            state.detour_closed_until = self.now() + DETOUR_PAUSE;
+        }
+        opened
+    }
+
     /// Takes back the connection of a lease.
     pub(super) fn put_back(&self, pooled: PooledConnection<P>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let kept = !state.is_closing(now) && matches!(state.share, ConnectionShare::Direct(_));
         let mut dropped = Vec::new();
-        if kept && pooled.is_reusable() {
+        if kept && !pooled.is_relayed() && pooled.is_reusable() {
             state.idle.push(pooled);
         } else {
             state.forget(1);
@@ -491,11 +551,19 @@
     }
 
     /// Learns from an answer.
-    pub(super) fn note_answer(&self, took: Micros, answer: &StatementAnswer, now: Micros) {
+    pub(super) fn note_answer(
+        &self,
+        took: Micros,
+        answer: &StatementAnswer,
+        relayed: bool,
+        now: Micros,
+    ) {
         let mut state = self.state.borrow_mut();
         let failed = matches!(answer.outcome, Err((TargetError::Failed, _)));
         let full = matches!(answer.outcome, Err((TargetError::Busy, _)));
-        let change = state.health.answered(took, failed);
+        state.health.answered(took, failed);
+        // An answer by another entry says nothing of this entry's own path.
+        let change = if relayed { HealthChange::None } else { state.health.reached() };
         let latency = state.health.latency();
         state.limit.record(latency, full, now);
         let slots = state.limit.value();
@@ -545,11 +613,7 @@
     ///
     /// A target that is asked by all entries at once gives each set-up a slot for 12 ms.
     pub(crate) fn warm_up(self: &Rc<Self>) {
-        let (open, may_try) = {
-            let state = self.state.borrow();
-            (state.open, state.health.may_try(self.now()))
-        };
-        if open == 0 && may_try {
+        if self.state.borrow().open == 0 {
             self.probe();
         }
     }
@@ -558,7 +622,11 @@
     ///
     /// The connection may have gone silent, or the target may be gone without a word.
     pub(crate) fn probe(self: &Rc<Self>) {
-        if !self.is_direct() || std::mem::replace(&mut self.state.borrow_mut().probing, true) {
+        let now = self.now();
+        if !self.is_direct()
+            || !self.state.borrow().health.may_try(now)
+            || std::mem::replace(&mut self.state.borrow_mut().probing, true)
+        {
             return;
         }
         self.state.borrow_mut().open += 1;
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -37,12 +37,18 @@
 /// Entries that are asked before the request counts as refused.
 const ENTRIES_TRIED: usize = 2;
 
+/// The same for a target that this entry cannot reach: others may be cut off as well, and refuse at once.
+const DETOURS_TRIED: usize = 5;
+
 /// Time for the connection to another entry.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time for the grant; the other entry may have to open a connection and wait for a slot.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The same on a detour, where the next entry is a better choice than a long wait.
+const DETOUR_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Interval of pings on a connection to another entry that is in use.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -82,13 +88,16 @@
         entries: &[ProcessHost],
         name: (&SharedName, &SharedName),
         plan: &OpenPlan,
+        detour: bool,
     ) -> Result<PooledConnection<P>, LeaseFailure>
     where
         P: StatementProtocol,
     {
+        let (tries, limit) =
+            if detour { (DETOURS_TRIED, DETOUR_TIMEOUT) } else { (ENTRIES_TRIED, GRANT_TIMEOUT) };
         let mut last = LeaseFailure { kind: FailureKind::Unreachable, retry_after: Micros::ZERO };
-        for entry in entries.iter().take(ENTRIES_TRIED) {
-            match timeout(GRANT_TIMEOUT, self.ask(core, entry, name, plan)).await {
+        for entry in entries.iter().take(tries) {
+            match timeout(limit, self.ask(core, entry, name, plan)).await {
                 Ok(Ok(pooled)) => return Ok(pooled),
                 Ok(Err(failure)) => last = failure,
                 Err(_) => {
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -165,6 +165,7 @@
         values: &SessionValues::new(),
         trusted_idle: Micros::from_secs(1),
         transaction: open.transaction,
+        detour: false,
     };
     let mut lease = pool.lease(&wish).await?;
     if open.transaction {
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -351,10 +351,10 @@
         route: &RouteRule,
         deadline: Micros,
         trusted_idle: Micros,
-        transaction: bool,
+        (transaction, detour): (bool, bool),
     ) -> LeaseWish<'_> {
         let slot = self.slot_wish(route, deadline);
-        LeaseWish { slot, values: &self.values, trusted_idle, transaction }
+        LeaseWish { slot, values: &self.values, trusted_idle, transaction, detour }
     }
 
     /// Returns the route of the session: that of its transaction, or the one in force.
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -62,6 +62,11 @@
         Self { end, failure: StatementFailure::new(kind), position: None }
     }
 
+    /// Returns whether the queue of the target is too long for the request.
+    fn is_refusal(&self) -> bool {
+        self.failure.kind == FailureKind::Overloaded && self.end == AttemptEnd::NotSent
+    }
+
     const fn unleased(failure: LeaseFailure) -> Self {
         let LeaseFailure { kind, retry_after } = failure;
         let failure = StatementFailure { kind, retry_after, detail: Bytes::new() };
@@ -115,12 +120,7 @@
                 NextStep::GiveUp(kind) => {
                     return Err(StatementFailure { kind, ..failed.failure });
                 }
-                NextStep::Retry
-                    if failed.failure.kind == FailureKind::Overloaded
-                        && failed.end == AttemptEnd::NotSent =>
-                {
-                    return Err(failed.failure);
-                }
+                NextStep::Retry if failed.is_refusal() => return Err(failed.failure),
                 NextStep::Retry => {
                     log_attempt(&request.id, &pool.target, None, &failed);
                     last = failed.failure;
@@ -141,7 +141,7 @@
         pool: &Rc<TargetPool<P>>,
         request: &StatementRequest,
     ) -> AttemptResult {
-        let wish = self.wish(&request.route, request.deadline, WRITE_TRUSTED_IDLE, false);
+        let wish = self.wish(&request.route, request.deadline, WRITE_TRUSTED_IDLE, (false, true));
         let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let left = request.deadline.since(self.gateway.now()).as_duration();
         let aligned = timeout(left, lease.pooled.align(&self.values)).await;
@@ -200,6 +200,10 @@
             if let NextStep::GiveUp(kind) = next_step(StatementWork::Read, failed.end, true) {
                 return Err(StatementFailure { kind, ..failed.failure });
             }
+            // The primary's queue is longer than the time that is left, and no replica is fresh enough.
+            if failed.is_refusal() {
+                return Err(failed.failure);
+            }
             if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
                 return Err(failed.failure);
             }
@@ -252,7 +256,7 @@
         if let Ok(result) = timeout(patience.as_duration(), &mut first).await {
             return joined(result);
         }
-        let Some(second) = second.filter(|second| second.is_open()) else {
+        let Some(second) = second.filter(|second| second.is_open(false)) else {
             return joined(first.await);
         };
         if !self.gateway.take_retry() {
@@ -359,7 +363,7 @@
         pool: &Rc<TargetPool<P>>,
         request: &StatementRequest,
     ) -> AttemptResult {
-        let wish = self.wish(&request.route, request.deadline, Micros(u64::MAX), false);
+        let wish = self.wish(&request.route, request.deadline, Micros(u64::MAX), (false, true));
         let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let attempt = async {
             lease
@@ -415,6 +419,7 @@
             values: &self.values,
             trusted_idle: Micros(u64::MAX),
             transaction: false,
+            detour: false,
         };
         let mut lease = self.pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
         let asked = self.gateway.now();
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -103,7 +103,7 @@
                 }
                 continue;
             };
-            let wish = self.wish(route, deadline, TRUSTED_IDLE, true);
+            let wish = self.wish(route, deadline, TRUSTED_IDLE, (true, true));
             let left = deadline.since(self.gateway.now()).as_duration();
             let opened = async {
                 let mut lease = pool.lease(&wish).await.map_err(|failure| StatementFailure {
@@ -145,7 +145,7 @@
                 return self.open_on_leader(route, deadline).await;
             };
             for pool in self.read_order(route, Some(floor)) {
-                let wish = self.wish(route, deadline, TRUSTED_IDLE, true);
+                let wish = self.wish(route, deadline, TRUSTED_IDLE, (true, false));
                 let left = deadline.since(self.gateway.now()).as_duration();
                 let opened = async {
                     let mut lease = pool.lease(&wish).await.ok()?;
