--- a/crates/directory/src/service.rs
+++ b/crates/directory/src/service.rs
@@ -65,6 +65,10 @@
         &self,
         request: Request<Streaming<v1::FollowRequest>>,
     ) -> Result<Response<Self::FollowStream>, Status> {
+        // A replica without a disk's content knows nothing until it has joined.
+        if self.node.log.members().await.map_err(unavailable)?.is_empty() {
+            return Err(Status::unavailable("the replica is no member yet"));
+        }
         let (replies, receiver) = mpsc::channel(FOLLOW_DEPTH);
         let stream = FollowStream {
             node: self.node.clone(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,11 +24,14 @@
 /// Longest silence of a control replica that is in touch with its leader; it speaks every 400 ms.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// The same before the first routes: callers wait, and another replica may have a leader already.
+const FIRST_SILENCE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time for the connection to a control replica.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Wait between two control replicas.
-const NEXT_DELAY: Duration = Duration::from_millis(100);
+const NEXT_DELAY: Duration = Duration::from_millis(50);
 
 /// Interval at which targets that stay unreachable are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -153,7 +156,8 @@
             ""
         );
         let mut ticks = interval(REPORT_INTERVAL);
-        let mut silence = Box::pin(sleep(SILENCE_LIMIT));
+        let first_limit = if version == 0 { FIRST_SILENCE_LIMIT } else { SILENCE_LIMIT };
+        let mut silence = Box::pin(sleep(first_limit));
         loop {
             tokio::select! {
                 reply = replies.message() => {
