perf(gateway): more connections of primaries, limits that start at half

Cause: with 24 entries each had two connections of a primary, and transactions whose callers paused held them while its slots were free (100 statements a second instead of 155); after a restart the entries filled the targets' queues before they knew the load.

--- a/crates/core/src/gateway/limit.rs
+++ b/crates/core/src/gateway/limit.rs
@@ -31,11 +31,12 @@
 }
 
 impl AdaptiveLimit {
-    /// Creates a limit that starts at its greatest value.
+    /// Creates a limit that starts at half of its greatest value: after a loss of power all entries come
+    /// back at once, and know nothing of the load.
     #[must_use]
     pub fn new(most: u32) -> Self {
         let most = most.max(1);
-        Self { limit: u64::from(most) * SCALE, most, cut_at: None }
+        Self { limit: u64::from(most.div_ceil(2)) * SCALE, most, cut_at: None }
     }
 
     /// Changes the greatest value.
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -1,7 +1,11 @@
 //! Which entries connect to a target and how many connections each of them opens.
 
 use {
-    crate::{collections::FastSet, directory::ProcessHost, names::SharedName},
+    crate::{
+        collections::FastSet,
+        directory::{ProcessHost, TargetReport},
+        names::SharedName,
+    },
     std::hash::{BuildHasher, Hasher},
 };
 
@@ -10,6 +14,9 @@
 /// a target drops the connections of a lost host only after 3 s.
 const USED_PERCENT: u32 = 65;
 
+/// The same for a primary, whose connections transactions hold while their callers think.
+const PRIMARY_USED_PERCENT: u32 = 85;
+
 /// Fewest connections that make a direct path useful: one may be held by a transaction.
 const DIRECT_MINIMUM: u32 = 2;
 
@@ -37,12 +44,14 @@
 #[must_use]
 pub fn connection_share(
     own: &ProcessHost,
-    target: &SharedName,
-    zone: &SharedName,
+    report: &TargetReport,
+    leads: bool,
     connections: u32,
     entries: &[ProcessHost],
 ) -> ConnectionShare {
-    let usable = connections * USED_PERCENT / 100;
+    let TargetReport { target, zone, .. } = report;
+    let percent = if leads { PRIMARY_USED_PERCENT } else { USED_PERCENT };
+    let usable = connections * percent / 100;
     let count = u32::try_from(entries.len().max(1)).unwrap_or(u32::MAX);
     let even = usable / count;
     if even >= DIRECT_MINIMUM {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -234,7 +234,8 @@
     ) -> ConnectionShare {
         let connections = route.rule.as_ref().map_or(DEFAULT_CONNECTIONS, |rule| rule.connections);
         let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
-        connection_share(&self.core.own, &report.target, &report.zone, connections, &entries)
+        let leads = route.primary.as_ref() == Some(&report.target);
+        connection_share(&self.core.own, report, leads, connections, &entries)
     }
 
     fn detour(&self, table: &RoutingTable, report: &TargetReport) -> Vec<ProcessHost> {
