--- /dev/null
+++ b/crates/core/tests/gateway_rules.rs
@@ -0,0 +1,253 @@
+//! Decisions of an entry before targets that fence themselves.
+
+use banyansill_core::{
+    directory::{ProcessHost, ReportOrder, TargetReport, TargetState},
+    failure::{FailureKind, OutcomeClass},
+    gateway::{
+        AdaptiveLimit, AttemptEnd, ConnectionShare, Distance, FreshnessLog, FreshnessMark,
+        HealthChange, NextStep, ReadCandidate, StatementWork, TargetError, TargetHealth,
+        connection_share, detour_entries, next_step, order_candidates,
+    },
+    position::LogPosition,
+    route::TargetRole,
+    time::Micros,
+};
+
+const fn ms(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+const fn mark(asked: u64, offset: u64) -> FreshnessMark {
+    FreshnessMark { asked: ms(asked), position: LogPosition::new(1, offset) }
+}
+
+// Guards against a read that lacks a commit older than its limit: the floor has to come from a mark that
+// was asked for no earlier than the limit allows.
+#[test]
+fn floor_covers_everything_older_than_the_limit() {
+    let mut log = FreshnessLog::default();
+    for (asked, offset) in [(1_000, 10), (1_500, 20), (2_000, 30)] {
+        log.record(mark(asked, offset));
+    }
+    assert_eq!(log.floor(ms(2_400), ms(1_000)), Some(LogPosition::new(1, 20)));
+    assert_eq!(log.floor(ms(2_400), ms(1_400)), Some(LogPosition::new(1, 10)));
+    assert_eq!(log.floor(ms(2_000), ms(0)), Some(LogPosition::new(1, 30)));
+    assert_eq!(log.floor(ms(2_400), ms(300)), None, "no mark is young enough");
+}
+
+// Guards against a late answer that lowers the floor, and against marks that are kept for nothing.
+#[test]
+fn late_marks_never_lower_a_floor() {
+    let mut log = FreshnessLog::default();
+    log.record(mark(2_000, 30));
+    log.record(mark(1_000, 50));
+    assert_eq!(log.floor(ms(2_000), ms(1_500)), Some(LogPosition::new(1, 30)));
+    log.record(mark(3_000, 30));
+    assert_eq!(log.floor(ms(3_000), ms(1_500)), Some(LogPosition::new(1, 30)));
+    for step in 0..10_000 {
+        log.record(mark(3_000 + step, 100 + step));
+    }
+    let floor = log.floor(ms(13_000), ms(1_000)).expect("marks of the last second");
+    assert!(floor.offset >= 9_100, "{floor}: older than the limit");
+    assert!(floor.offset <= 9_200, "{floor}: far younger than needed");
+}
+
+fn candidate(index: usize, distance: Distance, latency: u64) -> ReadCandidate {
+    ReadCandidate {
+        index,
+        distance,
+        primary: false,
+        latency: ms(latency),
+        in_flight: 0,
+        capacity: 2,
+        errors: 0,
+        reachable: true,
+        position: None,
+    }
+}
+
+fn first(mut candidates: Vec<ReadCandidate>, floor: Option<LogPosition>) -> usize {
+    order_candidates(&mut candidates, floor);
+    candidates[0].index
+}
+
+// Guards against reads that pay for bytes between regions while the target next door is well, and against
+// reads that stay with it when it is slow, full, failing, behind or gone.
+#[test]
+fn reads_stay_near_until_the_near_target_is_worse() {
+    let near = candidate(0, Distance::Zone, 20);
+    let far = candidate(1, Distance::Remote, 60);
+    assert_eq!(first(vec![far, near], None), 0);
+    assert_eq!(first(vec![far, ReadCandidate { latency: ms(250), ..near }], None), 1);
+    assert_eq!(first(vec![far, ReadCandidate { in_flight: 20, ..near }], None), 1);
+    assert_eq!(first(vec![far, ReadCandidate { errors: 500, ..near }], None), 1);
+    assert_eq!(first(vec![far, ReadCandidate { reachable: false, ..near }], None), 1);
+    let behind = ReadCandidate { position: Some(LogPosition::new(1, 5)), ..near };
+    assert_eq!(first(vec![far, behind], Some(LogPosition::new(1, 6))), 1);
+    assert_eq!(first(vec![far, behind], Some(LogPosition::new(1, 5))), 0);
+    let primary = ReadCandidate { primary: true, ..near };
+    assert_eq!(first(vec![primary, ReadCandidate { index: 2, ..near }], None), 2);
+}
+
+fn host(name: &str, zone: &str) -> ProcessHost {
+    ProcessHost { host: name.into(), address: format!("{name}:1").into(), zone: zone.into() }
+}
+
+fn report(zone: &str) -> TargetReport {
+    TargetReport {
+        target: "t".into(),
+        group: "g".into(),
+        address: "127.0.0.1:1".into(),
+        zone: zone.into(),
+        slots: 5,
+        state: TargetState::Ready,
+        role: TargetRole::Replica,
+        order: ReportOrder::default(),
+    }
+}
+
+fn hosts(count: usize) -> Vec<ProcessHost> {
+    let mut hosts = Vec::new();
+    for number in 0..count {
+        hosts.push(host(&format!("e{number}"), &format!("z{}", number % 6)));
+    }
+    hosts
+}
+
+// Guards against more connections than a target accepts, at the sizes of 15 and of 127 entries, and
+// against entries that find no holder.
+#[test]
+fn shares_fit_the_connections_of_a_target() {
+    for (count, connections) in [(15, 71), (18, 86), (127, 84), (108, 280), (1, 71), (2_700, 84)] {
+        let entries = hosts(count);
+        for leads in [false, true] {
+            let mut sum = 0;
+            for own in &entries {
+                match connection_share(own, &report("z1"), leads, connections, &entries) {
+                    ConnectionShare::Direct(each) => sum += each,
+                    ConnectionShare::Relayed(holders) => {
+                        assert!(!holders.is_empty(), "{count} entries: no holder");
+                        for holder in &holders {
+                            let share = connection_share(
+                                holder,
+                                &report("z1"),
+                                leads,
+                                connections,
+                                &entries,
+                            );
+                            assert!(matches!(share, ConnectionShare::Direct(_)));
+                        }
+                    }
+                }
+            }
+            assert!(sum <= connections, "{count} entries open {sum} of {connections}");
+            assert!(sum > 0, "{count} entries: nobody connects");
+        }
+    }
+    let entries = hosts(15);
+    let share = connection_share(&entries[0], &report("z1"), true, 71, &entries);
+    assert_eq!(share, ConnectionShare::Direct(4));
+}
+
+// Guards against a detour through the entry itself or through a far zone first.
+#[test]
+fn detours_begin_in_the_zone_of_the_target() {
+    let entries = hosts(12);
+    let order = detour_entries(&entries[3], &"z1".into(), &entries);
+    assert_eq!(order.len(), 11);
+    assert!(order[..2].iter().all(|entry| &*entry.zone == "z1"));
+    assert!(order.iter().all(|entry| entry.host != entries[3].host));
+}
+
+// Guards against a write that runs twice and against a caller who is told "not run" of what may have run.
+#[test]
+fn only_what_certainly_did_not_run_is_run_again() {
+    let errors = [
+        TargetError::Busy,
+        TargetError::UnknownStatement,
+        TargetError::Lagging,
+        TargetError::ReadOnly,
+        TargetError::Misrouted,
+        TargetError::TooManyConnections,
+        TargetError::Aborted,
+        TargetError::Failed,
+        TargetError::TimedOut,
+        TargetError::InDoubt,
+        TargetError::Malformed,
+    ];
+    for error in errors {
+        let ran =
+            matches!(error, TargetError::Failed | TargetError::TimedOut | TargetError::InDoubt);
+        for budget in [false, true] {
+            let step = next_step(StatementWork::Write, AttemptEnd::Reported(error), budget);
+            assert!(!ran || step != NextStep::Retry, "{error:?} of a write is run again");
+            if let NextStep::GiveUp(kind) = step {
+                let class = kind.answer().class;
+                assert!(!ran || class != OutcomeClass::NotRun, "{error:?} is called not run");
+            }
+        }
+    }
+    let lost = next_step(StatementWork::Write, AttemptEnd::Lost, true);
+    assert_eq!(lost, NextStep::GiveUp(FailureKind::ConnectionLost));
+    assert_eq!(next_step(StatementWork::Read, AttemptEnd::Lost, true), NextStep::Retry);
+    assert_ne!(next_step(StatementWork::Read, AttemptEnd::Lost, false), NextStep::Retry);
+    assert_eq!(next_step(StatementWork::Write, AttemptEnd::NotSent, false), NextStep::Retry);
+}
+
+// Guards against entries that fill the queue of a slow target: 18 entries on 3 slots that got five times
+// slower must not keep more statements there than end within the timeout of one second.
+#[test]
+fn limits_of_many_entries_keep_a_slow_target_within_its_timeout() {
+    const ENTRIES: u64 = 18;
+    const SLOTS: u64 = 3;
+    const WORK_MS: u64 = 100;
+    let mut limit = AdaptiveLimit::new(4);
+    let mut latency = ms(20);
+    let mut now = 0;
+    for _ in 0..200 {
+        let in_flight = u64::from(limit.value()) * ENTRIES;
+        let wait = (in_flight * WORK_MS).div_ceil(SLOTS).max(WORK_MS);
+        now += wait;
+        latency = ms((latency.as_millis() * 7 + wait) / 8);
+        limit.record(latency, false, ms(now));
+    }
+    let wait = u64::from(limit.value()) * ENTRIES * WORK_MS / SLOTS;
+    assert!(wait <= 1_000, "a statement waits {wait} ms");
+    for step in 0..100 {
+        limit.record(ms(20), false, ms(now + step * 20));
+    }
+    assert_eq!(limit.value(), 4, "the limit comes back when the target is well");
+}
+
+// Guards against a limit that is cut by the same congestion many times.
+#[test]
+fn limits_are_cut_once_for_one_congestion() {
+    let mut limit = AdaptiveLimit::new(8);
+    for step in 0..100 {
+        limit.record(ms(20), false, ms(step));
+    }
+    assert_eq!(limit.value(), 8);
+    for step in 0..50 {
+        limit.record(ms(20), true, ms(1_000 + step));
+    }
+    assert_eq!(limit.value(), 5);
+}
+
+// Guards against a target that is asked again and again while it is gone, and against one that is not
+// used when it is back.
+#[test]
+fn tries_at_a_lost_target_get_rarer_and_end_with_its_return() {
+    let mut health = TargetHealth::default();
+    assert!(health.may_try(ms(0)));
+    assert_eq!(health.failed(ms(900), ms(1_000)), HealthChange::Lost);
+    assert_eq!(health.failed(ms(1_100), ms(1_200)), HealthChange::None);
+    assert!(!health.may_try(ms(1_300)));
+    assert!(health.may_try(ms(1_400)));
+    assert_eq!(health.failing_for(ms(2_000)), ms(1_100));
+    for step in 0..20 {
+        health.failed(ms(2_000), ms(2_000 + step));
+    }
+    assert!(health.may_try(ms(3_019 + 1)), "at most a second between two tries");
+    assert_eq!(health.reached(), HealthChange::Regained);
+    assert!(health.may_try(ms(2_021)));
+}
