feat(gateway): look for a sign of life of a primary that nobody uses

Cause: control replaces a primary only if entries fail to reach it too, and an entry without traffic never noticed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod failure;
 pub mod floor;
 pub mod gateway;
+pub mod line_limit;
 pub mod machine;
 pub mod names;
 pub mod pack;
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -12,6 +12,7 @@
         choose_candidate,
     },
     gateway::RoutingTable,
+    line_limit::LineLimit,
     machine::StateMachine,
     pack::{pack, unpack},
     position::LogPosition,
@@ -317,3 +318,20 @@
     assert_eq!(next_repair(&well, &[waiting("f", 6)], 3), None, "every place is taken");
     assert_eq!(next_repair(&well, &[waiting("b", 2)], 3), None, "a member already");
 }
+
+// Guards against an outage that writes a line for every report, and against lines of other kinds that it hides.
+#[test]
+fn repeated_lines_are_written_once_a_second() {
+    let mut limit = LineLimit::default();
+    let mut written = Vec::new();
+    for millis in (0..3_000).step_by(10) {
+        let now = Micros::from_millis(millis);
+        if let Some(left_out) = limit.admit("report", now) {
+            written.push(left_out);
+        }
+        if millis == 500 {
+            assert_eq!(limit.admit("routes", now), Some(0));
+        }
+    }
+    assert_eq!(written, [0, 99, 99]);
+}
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -52,7 +52,7 @@
     assert!(floor.offset <= 9_200, "{floor}: far younger than needed");
 }
 
-fn candidate(index: usize, distance: Distance, latency: u64) -> ReadCandidate {
+const fn candidate(index: usize, distance: Distance, latency: u64) -> ReadCandidate {
     ReadCandidate {
         index,
         distance,
--- a/crates/directory/src/join.rs
+++ b/crates/directory/src/join.rs
@@ -71,7 +71,8 @@
     }
 }
 
-type Node = DirectoryNode<ReplicaHandle<DirectoryState>>;
+/// Replica of the directory as a process runs it.
+pub(crate) type Node = DirectoryNode<ReplicaHandle<DirectoryState>>;
 
 /// Asks to join whenever this replica is no voter, until the process ends.
 pub(crate) async fn ask(node: Node, settings: DirectorySettings) {
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -8,11 +8,15 @@
             RouteDraft, RouteFault, TargetReport,
         },
         event::EventNumber,
+        line_limit::LineLimit,
         names::SharedName,
     },
     banyansill_replica::command_log::{CommandLog, LogError},
     banyansill_runtime::clock::MonotonicClock,
-    std::time::Duration,
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     thiserror::Error,
     tokio::time::timeout,
 };
@@ -53,6 +57,8 @@
     pub(crate) own: ProcessHost,
     pub(crate) clock: MonotonicClock,
     pub(crate) leader: LeaderLink,
+    /// An outage would log a line for every report of every target.
+    lines: Arc<Mutex<LineLimit>>,
 }
 
 impl<L> DirectoryNode<L>
@@ -62,7 +68,7 @@
     /// Creates the node of a replicated log.
     #[must_use]
     pub fn new(log: L, own: ProcessHost, clock: MonotonicClock) -> Self {
-        Self { log, own, clock, leader: LeaderLink::default() }
+        Self { log, own, clock, leader: LeaderLink::default(), lines: Arc::default() }
     }
 
     /// Puts routes in force.
@@ -177,7 +183,7 @@
     pub(crate) async fn change(
         &self,
         command: &DirectoryCommand,
-        what: &str,
+        what: &'static str,
     ) -> Result<bool, DirectoryError> {
         self.submit(command, what).await.map(|(_, changed)| changed)
     }
@@ -191,7 +197,7 @@
     pub(crate) async fn submit(
         &self,
         command: &DirectoryCommand,
-        what: &str,
+        what: &'static str,
     ) -> Result<(u64, bool), DirectoryError> {
         let encoded = command.encode();
         let submitted = async {
@@ -218,7 +224,7 @@
         self.log.propose(command).await.map(|(_, reply)| reply)
     }
 
-    async fn within<T, F>(&self, what: &str, request: F) -> Result<T, DirectoryError>
+    async fn within<T, F>(&self, what: &'static str, request: F) -> Result<T, DirectoryError>
     where
         F: Future<Output = Result<T, DirectoryError>>,
     {
@@ -226,16 +232,23 @@
             Err(DirectoryError::Unavailable("no answer of a majority in time".to_owned()))
         });
         if let Err(DirectoryError::Unavailable(reason)) = &result {
-            let status = self.log.status().borrow().clone();
-            log::warn!(
-                target: "event",
-                event:display = EventNumber::DirectoryUnavailable,
-                what,
-                reason = reason.as_str(),
-                term = status.term,
-                leader = status.leader.as_deref().unwrap_or("-");
-                ""
-            );
+            let left_out = {
+                let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+                lines.admit(what, self.clock.now())
+            };
+            if let Some(left_out) = left_out {
+                let status = self.log.status().borrow().clone();
+                log::warn!(
+                    target: "event",
+                    event:display = EventNumber::DirectoryUnavailable,
+                    what,
+                    reason = reason.as_str(),
+                    term = status.term,
+                    leader = status.leader.as_deref().unwrap_or("-"),
+                    left_out;
+                    ""
+                );
+            }
         }
         result
     }
--- a/crates/directory/src/process.rs
+++ b/crates/directory/src/process.rs
@@ -59,6 +59,9 @@
 /// connections is free then.
 const ENTRY_EXPIRY: Micros = Micros::from_secs(5);
 
+/// Age of a voter's last answer up to which it counts as answering; an election comes after 350 ms.
+const ANSWERING_LIMIT: Micros = Micros::from_millis(500);
+
 /// Interval at which gauges are set.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -275,10 +278,7 @@
     }
 }
 
-async fn set_gauges<L>(node: DirectoryNode<L>, metrics: StatsdClient)
-where
-    L: CommandLog<Machine = DirectoryState>,
-{
+async fn set_gauges(node: join::Node, metrics: StatsdClient) {
     let mut ticks = interval(GAUGE_INTERVAL);
     loop {
         ticks.tick().await;
@@ -287,6 +287,12 @@
             (state.version(), state.book().version, state.targets().len(), state.entries().len())
         });
         let Ok((version, routes, targets, entries)) = counts.await else { continue };
+        let (mut voters, mut answering) = (0, 0);
+        for member in node.log.members().await.unwrap_or_default() {
+            voters += u64::from(member.record.voter);
+            let silent_for = member.silent_for.filter(|silent_for| *silent_for < ANSWERING_LIMIT);
+            answering += u64::from(member.record.voter && silent_for.is_some());
+        }
         let gauges = [
             ("leading", u64::from(status.leading)),
             ("term", status.term),
@@ -294,6 +300,9 @@
             ("routes", routes),
             ("targets", targets as u64),
             ("entries", entries as u64),
+            ("voters", voters),
+            // Known at the leader alone.
+            ("voters.answering", answering),
         ];
         for (name, value) in gauges {
             // The board cannot fail.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,7 +30,7 @@
     },
     tokio::{
         sync::{mpsc, watch},
-        time::{sleep, timeout},
+        time::{MissedTickBehavior, interval, sleep, timeout},
     },
 };
 
@@ -178,16 +178,21 @@
     /// Follows the table and looks after the pools until the process ends.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut table = self.table.clone();
+        let mut upkeep = interval(UPKEEP_INTERVAL);
+        upkeep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            match timeout(UPKEEP_INTERVAL, table.changed()).await {
-                Ok(Ok(())) => {
+            tokio::select! {
+                changed = table.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
                     let table = table.borrow_and_update().clone();
                     self.apply(&table);
                 }
-                Ok(Err(_)) => return,
-                Err(_) => {
+                _ = upkeep.tick() => {
                     for pool in self.all_pools() {
                         pool.close_unused();
+                        pool.check_quiet();
                     }
                 }
             }
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod lease;
 mod opening;
 mod slot;
+mod state;
 mod target;
 
 pub(crate) use {
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -1,16 +1,27 @@
 //! Opening a connection to a target, directly or through another entry.
 
 use {
-    super::{connection::PooledConnection, target::LeaseFailure},
+    super::{
+        connection::PooledConnection,
+        state::TargetPath,
+        target::{ALIVE_LIMIT, LeaseFailure, LeaseWish, TargetPool},
+    },
     crate::gateway::GatewayCore,
     banyansill_core::{
+        failure::FailureKind,
         gateway::{ConnectionShare, TargetError},
         names::SharedName,
+        queue::SlotTicket,
+        time::Micros,
     },
     banyansill_target::{
         ConnectError, ConnectionOptions, StartRequest, StatementProtocol, TargetConnection,
     },
     std::{rc::Rc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time for the TCP connection; regions are 20 ms apart, and a lost opening packet is repeated only
@@ -21,6 +32,16 @@
 /// wait for one.
 const START_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Wait after a target refused a connection because it has too many.
+const REFUSED_WAIT: Micros = Micros::from_millis(200);
+
+/// Wait after no other entry could reach the target either.
+const DETOUR_PAUSE: Micros = Micros::from_millis(300);
+
+/// Time without a sign of life of a primary after which an idle entry looks for one. Control replaces a
+/// primary only if entries cannot reach it either, and entries without traffic would not notice.
+const QUIET_LIMIT: Micros = Micros::from_millis(1_500);
+
 /// Connection that was not opened.
 #[derive(Debug)]
 pub(crate) enum OpenFailure {
@@ -87,3 +108,161 @@
         Err(ConnectError::Refused(error)) => Err(OpenFailure::Refused(error)),
     }
 }
+
+impl<P> TargetPool<P>
+where
+    P: StatementProtocol,
+{
+    /// Opens a connection; it is kept for others if the session stops waiting for it.
+    pub(super) async fn connect(
+        self: &Rc<Self>,
+        wish: &LeaseWish<'_>,
+        ticket: SlotTicket,
+    ) -> Result<PooledConnection<P>, LeaseFailure> {
+        {
+            let mut state = self.state.borrow_mut();
+            state.claims.remove(&ticket);
+            state.open += 1;
+        }
+        let path = self.state.borrow().path(self.now(), wish.detour);
+        if path == Some(TargetPath::Detour) {
+            self.probe();
+        }
+        let (sender, opened) = oneshot::channel();
+        let pool = Rc::clone(self);
+        let plan = OpenPlan {
+            database: wish.slot.database.clone(),
+            priority: wish.slot.priority,
+            transaction: wish.transaction,
+        };
+        tokio::task::spawn_local(async move {
+            let result = match path {
+                Some(TargetPath::Detour) => pool.open_detour(&plan).await,
+                _ => pool.open_connection(&plan).await,
+            };
+            if let Err(Ok(unwanted)) = sender.send(result) {
+                pool.put_back(unwanted);
+            }
+        });
+        let left = wish.slot.deadline.since(self.now()).as_duration();
+        match timeout(left, opened).await {
+            Ok(Ok(result)) => result,
+            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
+        }
+    }
+
+    /// Opens a connection that is counted as open already.
+    async fn open_connection(
+        self: &Rc<Self>,
+        plan: &OpenPlan,
+    ) -> Result<PooledConnection<P>, LeaseFailure> {
+        let begun = self.now();
+        let (address, share) = {
+            let state = self.state.borrow();
+            (state.address.clone(), state.share.clone())
+        };
+        let opened = open(&self.core, (&self.group, &self.target), &address, &share, plan);
+        let opened = opened.await;
+        let now = self.now();
+        if opened.is_err() {
+            self.state.borrow_mut().forget(1);
+        }
+        match opened {
+            Ok(pooled) => {
+                let change = self.state.borrow_mut().reached(now);
+                self.report(change, now);
+                Ok(pooled)
+            }
+            Err(OpenFailure::Unreachable(reason)) => {
+                self.note_lost(begun, &reason);
+                Err(LeaseFailure::new(FailureKind::Unreachable))
+            }
+            Err(OpenFailure::Refused(error)) => {
+                self.state.borrow_mut().refused_until = now + REFUSED_WAIT;
+                let pool = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    sleep(REFUSED_WAIT.as_duration()).await;
+                    pool.start_waiting();
+                });
+                Err(LeaseFailure::new(error.failure()))
+            }
+            Err(OpenFailure::Relay(failure)) => Err(failure),
+        }
+    }
+
+    /// Leases a connection of another entry that is counted as open already.
+    async fn open_detour(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
+        let entries = self.state.borrow().detour.clone();
+        let name = (&self.group, &self.target);
+        let opened = self.core.relay.open(&self.core, &entries, name, plan, true).await;
+        self.core.count("connections.detour");
+        if opened.is_err() {
+            let mut state = self.state.borrow_mut();
+            state.forget(1);
+            state.detour_closed_until = self.now() + DETOUR_PAUSE;
+        }
+        opened
+    }
+
+    /// Opens a first connection before anybody asks for one.
+    ///
+    /// A target that is asked by all entries at once gives each set-up a slot for 12 ms.
+    pub(crate) fn warm_up(self: &Rc<Self>) {
+        if self.state.borrow().open == 0 {
+            self.probe();
+        }
+    }
+
+    /// Tries a fresh connection, after an answer that is late or did not come.
+    ///
+    /// The connection may have gone silent, or the target may be gone without a word.
+    pub(crate) fn probe(self: &Rc<Self>) {
+        let now = self.now();
+        if !self.is_direct()
+            || !self.state.borrow().health.may_try(now)
+            || std::mem::replace(&mut self.state.borrow_mut().probing, true)
+        {
+            return;
+        }
+        self.state.borrow_mut().open += 1;
+        let pool = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let plan = OpenPlan { database: pool.group.clone(), priority: 0, transaction: false };
+            let probed = pool.open_connection(&plan).await;
+            pool.state.borrow_mut().probing = false;
+            if let Ok(pooled) = probed {
+                pool.put_back(pooled);
+            }
+        });
+    }
+    /// Looks for a sign of life of a primary that has not been heard of for long.
+    ///
+    /// Load: a primary that is lost while nobody writes.
+    pub(crate) fn check_quiet(self: &Rc<Self>) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if !state.leads || state.probing || now.since(state.heard) < QUIET_LIMIT {
+            return;
+        }
+        let Some(mut pooled) = state.idle.pop() else {
+            drop(state);
+            self.probe();
+            return;
+        };
+        state.probing = true;
+        drop(state);
+        let pool = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let verified = timeout(ALIVE_LIMIT.as_duration(), pooled.verify()).await;
+            let alive = matches!(verified, Ok(Ok(())));
+            pool.put_back(pooled);
+            pool.state.borrow_mut().probing = false;
+            if alive {
+                let change = pool.state.borrow_mut().reached(pool.now());
+                pool.report(change, now);
+            } else {
+                pool.probe();
+            }
+        });
+    }
+}
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -4,8 +4,8 @@
     super::{
         connection::{PooledConnection, SessionValues},
         lease::TargetLease,
-        opening::{self, OpenFailure, OpenPlan},
         slot::{SlotHold, SlotKind, SlotWish},
+        state::{PoolState, connections_of},
     },
     crate::gateway::GatewayCore,
     banyansill_core::{
@@ -21,15 +21,9 @@
     },
     banyansill_target::{StatementAnswer, StatementProtocol},
     std::{cell::RefCell, rc::Rc},
-    tokio::{
-        sync::oneshot,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::oneshot, time::timeout},
 };
 
-/// Connections that an entry asks of other entries at a time; those queue by their own.
-const RELAYED_CONNECTIONS: u32 = 8;
-
 /// Time for which a position says how far a replica has come; replicas apply within milliseconds.
 const POSITION_LIFE: Micros = Micros::from_millis(100);
 
@@ -47,14 +41,8 @@
 /// and a leaving target must get no new work after 7 s.
 const LEADER_GRACE: Micros = Micros::from_secs(4);
 
-/// Wait after a target refused a connection because it has too many.
-const REFUSED_WAIT: Micros = Micros::from_millis(200);
-
-/// Wait after no other entry could reach the target either.
-const DETOUR_PAUSE: Micros = Micros::from_millis(300);
-
 /// Longest wait for a sign of life of an idle connection; regions are 20 ms apart.
-const ALIVE_LIMIT: Micros = Micros::from_millis(250);
+pub(super) const ALIVE_LIMIT: Micros = Micros::from_millis(250);
 
 /// What a session wants of a connection.
 #[derive(Debug)]
@@ -86,87 +74,18 @@
     }
 }
 
-#[derive(Debug)]
-struct PoolState<P> {
-    /// Statements that run on the target or wait for it.
-    queue: SlotQueue,
-    granted: FastMap<SlotTicket, oneshot::Sender<()>>,
-    /// Slots that were given with a claim to a connection which is not taken yet.
-    claims: FastSet<SlotTicket>,
-    idle: Vec<PooledConnection<P>>,
-    /// Connections that are idle, leased or being opened.
-    open: u32,
-    limit: AdaptiveLimit,
-    health: TargetHealth,
-    /// Last known position of the target's log and when it was learnt.
-    position: Option<(LogPosition, Micros)>,
-    share: ConnectionShare,
-    address: SharedName,
-    /// When the target takes no new work any more.
-    closes_at: Option<Micros>,
-    refused_until: Micros,
-    probing: bool,
-    /// Entries to ask while this one cannot reach the target.
-    detour: Vec<ProcessHost>,
-    /// Until when asking them is not worth a try.
-    detour_closed_until: Micros,
-}
-
-/// Way to a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TargetPath {
-    /// The share's own.
-    Usual,
-    /// Other entries, since this one cannot reach the target.
-    Detour,
-}
-
-impl<P> PoolState<P> {
-    /// Returns the way that a new connection takes, or `None` while no way is worth a try.
-    fn path(&self, now: Micros, detour: bool) -> Option<TargetPath> {
-        if !self.health.is_failing() {
-            return Some(TargetPath::Usual);
-        }
-        if detour && !self.detour.is_empty() && now >= self.detour_closed_until {
-            return Some(TargetPath::Detour);
-        }
-        self.health.may_try(now).then_some(TargetPath::Usual)
-    }
-
-    fn is_closing(&self, now: Micros) -> bool {
-        self.closes_at.is_some_and(|closes_at| closes_at <= now)
-    }
-
-    /// Returns whether one more session can have a connection.
-    fn has_connection(&self, now: Micros) -> bool {
-        let most = if self.is_refused(now) { 0 } else { connections_of(&self.share) };
-        let spare = most.saturating_sub(self.open) as usize;
-        self.idle.len() + spare > self.claims.len()
-    }
-
-    /// Returns whether the target refused a connection a moment ago.
-    fn is_refused(&self, now: Micros) -> bool {
-        now < self.refused_until
-    }
-
-    /// Forgets connections that are closed.
-    const fn forget(&mut self, count: usize) {
-        self.open = self.open.saturating_sub(count as u32);
-    }
-}
-
 /// Connections to one target and the requests that wait for them.
 #[derive(Debug)]
 pub(crate) struct TargetPool<P>
 where
     P: StatementProtocol,
 {
-    core: Rc<GatewayCore<P>>,
+    pub(super) core: Rc<GatewayCore<P>>,
     /// Group of the target.
     pub(crate) group: SharedName,
     /// Name of the target.
     pub(crate) target: SharedName,
-    state: RefCell<PoolState<P>>,
+    pub(super) state: RefCell<PoolState<P>>,
 }
 
 impl<P> TargetPool<P>
@@ -195,6 +114,8 @@
             closes_at: None,
             refused_until: Micros::ZERO,
             probing: false,
+            leads,
+            heard: core.clock.now(),
             detour: Vec::new(),
             detour_closed_until: Micros::ZERO,
         };
@@ -230,6 +151,10 @@
             dropped.append(&mut state.idle);
         }
         state.detour = detour;
+        if leads && !std::mem::replace(&mut state.leads, leads) {
+            state.heard = now;
+        }
+        state.leads = leads;
         if state.share != share {
             state.limit.set_most(connections_of(&share));
             let slots = state.limit.value();
@@ -385,7 +310,7 @@
     }
 
     /// Gives free slots to waiting requests.
-    fn start_waiting(&self) {
+    pub(super) fn start_waiting(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         loop {
@@ -442,97 +367,6 @@
         matches!(verified, Ok(Ok(())))
     }
 
-    /// Opens a connection; it is kept for others if the session stops waiting for it.
-    async fn connect(
-        self: &Rc<Self>,
-        wish: &LeaseWish<'_>,
-        ticket: SlotTicket,
-    ) -> Result<PooledConnection<P>, LeaseFailure> {
-        {
-            let mut state = self.state.borrow_mut();
-            state.claims.remove(&ticket);
-            state.open += 1;
-        }
-        let path = self.state.borrow().path(self.now(), wish.detour);
-        if path == Some(TargetPath::Detour) {
-            self.probe();
-        }
-        let (sender, opened) = oneshot::channel();
-        let pool = Rc::clone(self);
-        let plan = OpenPlan {
-            database: wish.slot.database.clone(),
-            priority: wish.slot.priority,
-            transaction: wish.transaction,
-        };
-        tokio::task::spawn_local(async move {
-            let result = match path {
-                Some(TargetPath::Detour) => pool.open_detour(&plan).await,
-                _ => pool.open_connection(&plan).await,
-            };
-            if let Err(Ok(unwanted)) = sender.send(result) {
-                pool.put_back(unwanted);
-            }
-        });
-        let left = wish.slot.deadline.since(self.now()).as_duration();
-        match timeout(left, opened).await {
-            Ok(Ok(result)) => result,
-            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
-        }
-    }
-
-    /// Opens a connection that is counted as open already.
-    async fn open_connection(
-        self: &Rc<Self>,
-        plan: &OpenPlan,
-    ) -> Result<PooledConnection<P>, LeaseFailure> {
-        let begun = self.now();
-        let (address, share) = {
-            let state = self.state.borrow();
-            (state.address.clone(), state.share.clone())
-        };
-        let opened = opening::open(&self.core, (&self.group, &self.target), &address, &share, plan);
-        let opened = opened.await;
-        let now = self.now();
-        if opened.is_err() {
-            self.state.borrow_mut().forget(1);
-        }
-        match opened {
-            Ok(pooled) => {
-                let change = self.state.borrow_mut().health.reached();
-                self.report(change, now);
-                Ok(pooled)
-            }
-            Err(OpenFailure::Unreachable(reason)) => {
-                self.note_lost(begun, &reason);
-                Err(LeaseFailure::new(FailureKind::Unreachable))
-            }
-            Err(OpenFailure::Refused(error)) => {
-                self.state.borrow_mut().refused_until = now + REFUSED_WAIT;
-                let pool = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    sleep(REFUSED_WAIT.as_duration()).await;
-                    pool.start_waiting();
-                });
-                Err(LeaseFailure::new(error.failure()))
-            }
-            Err(OpenFailure::Relay(failure)) => Err(failure),
-        }
-    }
-
-    /// Leases a connection of another entry that is counted as open already.
-    async fn open_detour(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
-        let entries = self.state.borrow().detour.clone();
-        let name = (&self.group, &self.target);
-        let opened = self.core.relay.open(&self.core, &entries, name, plan, true).await;
-        self.core.count("connections.detour");
-        if opened.is_err() {
-            let mut state = self.state.borrow_mut();
-            state.forget(1);
-            state.detour_closed_until = self.now() + DETOUR_PAUSE;
-        }
-        opened
-    }
-
     /// Takes back the connection of a lease.
     pub(super) fn put_back(&self, pooled: PooledConnection<P>) {
         let now = self.now();
@@ -563,7 +397,7 @@
         let full = matches!(answer.outcome, Err((TargetError::Busy, _)));
         state.health.answered(took, failed);
         // An answer by another entry says nothing of this entry's own path.
-        let change = if relayed { HealthChange::None } else { state.health.reached() };
+        let change = if relayed { HealthChange::None } else { state.reached(now) };
         let latency = state.health.latency();
         state.limit.record(latency, full, now);
         let slots = state.limit.value();
@@ -592,7 +426,7 @@
         self.report(change, begun);
     }
 
-    fn report(&self, change: HealthChange, since: Micros) {
+    pub(super) fn report(&self, change: HealthChange, since: Micros) {
         if change == HealthChange::None {
             return;
         }
@@ -608,45 +442,6 @@
         let failing = (change == HealthChange::Lost).then_some(since);
         self.core.note_reach(&self.group, &self.target, failing);
     }
-
-    /// Opens a first connection before anybody asks for one.
-    ///
-    /// A target that is asked by all entries at once gives each set-up a slot for 12 ms.
-    pub(crate) fn warm_up(self: &Rc<Self>) {
-        if self.state.borrow().open == 0 {
-            self.probe();
-        }
-    }
-
-    /// Tries a fresh connection, after an answer that is late or did not come.
-    ///
-    /// The connection may have gone silent, or the target may be gone without a word.
-    pub(crate) fn probe(self: &Rc<Self>) {
-        let now = self.now();
-        if !self.is_direct()
-            || !self.state.borrow().health.may_try(now)
-            || std::mem::replace(&mut self.state.borrow_mut().probing, true)
-        {
-            return;
-        }
-        self.state.borrow_mut().open += 1;
-        let pool = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            let plan = OpenPlan { database: pool.group.clone(), priority: 0, transaction: false };
-            let probed = pool.open_connection(&plan).await;
-            pool.state.borrow_mut().probing = false;
-            if let Ok(pooled) = probed {
-                pool.put_back(pooled);
-            }
-        });
-    }
-}
-
-const fn connections_of(share: &ConnectionShare) -> u32 {
-    match share {
-        ConnectionShare::Direct(connections) => *connections,
-        ConnectionShare::Relayed(_) => RELAYED_CONNECTIONS,
-    }
 }
 
 const fn refusal(refusal: QueueRefusal) -> LeaseFailure {
