--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -77,6 +77,8 @@
     LinesDropped = 7, "log lines dropped";
     /// A process read its settings again.
     SettingsReloaded = 8, "settings reloaded";
+    /// A process ended because it could not start or go on.
+    ProcessFailed = 9, "process failed";
     /// A control replica became leader.
     LeaderElected = 101, "control leader elected";
     /// A control leader stepped down.
--- a/crates/directory/src/join.rs
+++ b/crates/directory/src/join.rs
@@ -1,7 +1,7 @@
 //! Replicas that join by themselves and a leader that repairs the set of replicas.
 
 use {
-    crate::{node::DirectoryNode, settings::DirectorySettings},
+    crate::node::DirectoryNode,
     banyansill_core::{
         collections::FastMap,
         consensus::{
@@ -21,7 +21,10 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::time::{interval, sleep, timeout},
+    tokio::{
+        sync::watch,
+        time::{interval, sleep, timeout},
+    },
 };
 
 /// Time for which a request to join stands; the replica repeats it.
@@ -75,12 +78,13 @@
 pub(crate) type Node = DirectoryNode<ReplicaHandle<DirectoryState>>;
 
 /// Asks to join whenever this replica is no voter, until the process ends.
-pub(crate) async fn ask(node: Node, settings: DirectorySettings) {
+pub(crate) async fn ask(node: Node, seeds: watch::Receiver<Vec<SharedName>>) {
     let mut turn = 0;
     let mut led = node.clock.now();
-    let mut addresses = settings.seed_addresses();
+    let mut addresses = Vec::new();
     loop {
         sleep(ASK_INTERVAL).await;
+        add_new(&mut addresses, seeds.borrow().iter().cloned());
         let status = node.log.status().borrow().clone();
         if status.leader.is_some() {
             led = node.clock.now();
@@ -93,11 +97,7 @@
             record_own(&node).await;
             continue;
         }
-        for member in &members {
-            if !addresses.contains(&member.record.address) {
-                addresses.push(member.record.address.clone());
-            }
-        }
+        add_new(&mut addresses, members.iter().map(|member| member.record.address.clone()));
         let own = &node.own;
         let others: Vec<SharedName> =
             addresses.iter().filter(|address| **address != own.address).cloned().collect();
@@ -111,18 +111,21 @@
         match node.leader.join(address, request).await {
             Ok(reply) => {
                 turn -= 1;
-                for member in reply.members {
-                    let member = SharedName::from(member);
-                    if !addresses.contains(&member) {
-                        addresses.push(member);
-                    }
-                }
+                add_new(&mut addresses, reply.members.into_iter().map(SharedName::from));
             }
             Err(error) => log::debug!("replica {address} took no request to join: {error}"),
         }
     }
 }
 
+fn add_new(addresses: &mut Vec<SharedName>, others: impl Iterator<Item = SharedName>) {
+    for address in others {
+        if !addresses.contains(&address) {
+            addresses.push(address);
+        }
+    }
+}
+
 /// Makes this replica's address known to entries.
 async fn record_own(node: &Node) {
     let own = node.own.clone();
--- a/crates/directory/src/process.rs
+++ b/crates/directory/src/process.rs
@@ -92,6 +92,7 @@
 pub struct DirectoryHandle {
     node: DirectoryNode<ReplicaHandle<DirectoryState>>,
     stop: watch::Sender<bool>,
+    seeds: watch::Sender<Vec<SharedName>>,
     service: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
     status: Option<StatusListener>,
@@ -164,10 +165,11 @@
             log::error!("listener for other processes: {error}");
         }
     });
+    let (seeds, seeds_in_force) = watch::channel(settings.seed_addresses());
     let voters_wanted = settings.voters_wanted();
     let sources = SupervisorSources { node: node.clone(), reach: reach.clone(), protocol, port };
     let tasks = vec![
-        tokio::spawn(join::ask(node.clone(), settings)),
+        tokio::spawn(join::ask(node.clone(), seeds_in_force)),
         tokio::spawn(join::repair(node.clone(), joins, voters_wanted)),
         tokio::spawn(report_reach(node.clone(), followers, reach.clone())),
         tokio::spawn(expire_entries(node.clone(), reach)),
@@ -181,7 +183,7 @@
         version = env!("CARGO_PKG_VERSION");
         ""
     );
-    Ok(DirectoryHandle { node, stop, service, tasks, status })
+    Ok(DirectoryHandle { node, stop, seeds, service, tasks, status })
 }
 
 impl DirectoryHandle {
@@ -191,6 +193,22 @@
         &self.node
     }
 
+    /// Takes over changed seeds; all other settings need a restart.
+    pub fn reload(&self, settings: &DirectorySettings) {
+        let addresses = settings.seed_addresses();
+        let changed = self.seeds.send_if_modified(|seeds| {
+            let changed = *seeds != addresses;
+            *seeds = addresses;
+            changed
+        });
+        log::info!(
+            target: "event",
+            event:display = EventNumber::SettingsReloaded,
+            outcome = if changed { "changed" } else { "unchanged" };
+            ""
+        );
+    }
+
     /// Stops the replica after its open requests, within a limit.
     pub async fn stop(mut self) {
         log::info!(target: "event", event:display = EventNumber::ProcessStopping; "");
