fix(gateway): lent connections go back to their entry instead of being closed

Cause: a session that gave a lent connection back dropped the stream at once. The reset of the stream overtook the message that returns the connection, so the lending entry closed it: 198 new connections for 200 lent uses (test lent_connections_are_used_again, 20 or fewer after). At 127 entries this made 107,651 new connections for 66,627 statements, each of which takes a slot of the target for 12 ms. A late answer also opened a fresh connection although the target answered others.

Change: the stream stays open until the other entry has the connection back; a lent connection that was never used is kept; a late answer is a reason to try a fresh connection only if the target answers nobody.

--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -7,9 +7,13 @@
         ExchangeError, StatementAccess, StatementProtocol, TargetConnection, TargetRequest,
     },
     bytes::Bytes,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::timeout,
 };
 
+/// Time for another entry to take its connection back; regions are 20 ms apart.
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Values that a session has set, by name.
 pub(crate) type SessionValues = BTreeMap<Bytes, Bytes>;
 
@@ -83,6 +87,19 @@
         !self.uncertain && !self.connection.is_closed() && self.connection.is_clean()
     }
 
+    /// Returns the counter of the reason for which the connection is not used again.
+    pub(crate) const fn end_metric(&self) -> &'static str {
+        if self.is_relayed() {
+            "connections.ended.returned"
+        } else if self.connection.is_closed() {
+            "connections.ended.broken"
+        } else if self.uncertain {
+            "connections.ended.uncertain"
+        } else {
+            "connections.ended.unfinished"
+        }
+    }
+
     /// Creates what stands for a connection that is gone.
     pub(crate) fn closed(protocol: P) -> Self {
         Self::new(TargetConnection::closed(protocol), Micros::ZERO)
@@ -179,14 +196,17 @@
     }
 
     /// Gives the connection back to the entry that it belongs to, or closes it.
-    pub(crate) async fn end(self) {
-        match self.relay {
-            Some(relay) if !self.uncertain && self.connection.is_clean() => {
-                relay.release(&self.values, &self.prepared).await;
-            }
-            Some(_) => {}
-            None => self.connection.end().await,
+    pub(crate) async fn end(mut self) {
+        let Some(relay) = self.relay.take() else {
+            return self.connection.end().await;
+        };
+        if self.uncertain || !self.connection.is_clean() {
+            return;
         }
+        relay.release(&self.values, &self.prepared).await;
+        // The other entry ends the stream once it has the connection back. A stream that is dropped before
+        // is reset, and the other entry would close the connection.
+        let _ = timeout(RELEASE_LIMIT, self.connection.read_raw()).await;
     }
 
     /// Makes sure that the connection still carries bytes in both directions.
--- a/crates/gateway/src/pool/lease.rs
+++ b/crates/gateway/src/pool/lease.rs
@@ -75,11 +75,10 @@
         let begun = self.pool.now();
         let relayed = self.pooled.is_relayed();
         let mut answered = pin!(self.pooled.connection.run(request));
-        let result = match timeout(SUSPECT_AFTER, &mut answered).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.pool.probe();
-                answered.await
+        let result = loop {
+            match timeout(SUSPECT_AFTER, &mut answered).await {
+                Ok(result) => break result,
+                Err(_) => self.pool.probe_if_silent(),
             }
         };
         match result {
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -38,6 +38,9 @@
 /// Wait after no other entry could reach the target either.
 const DETOUR_PAUSE: Micros = Micros::from_millis(300);
 
+/// Time without a sign of life of a target after which a late answer is a reason to try a fresh connection.
+const PROBE_PAUSE: Micros = Micros::from_millis(250);
+
 /// Time without a sign of life of a primary after which an idle entry looks for one. Control replaces a
 /// primary only if entries cannot reach it either, and entries without traffic would not notice.
 const QUIET_LIMIT: Micros = Micros::from_millis(1_500);
@@ -213,9 +216,18 @@
         }
     }
 
-    /// Tries a fresh connection, after an answer that is late or did not come.
+    /// Tries a fresh connection because an answer is late, if the target does not answer others either.
     ///
-    /// The connection may have gone silent, or the target may be gone without a word.
+    /// Load: more statements than the target has slots. Answers are late because it is busy, and each fresh
+    /// connection would take one of its slots for 12 ms.
+    pub(crate) fn probe_if_silent(self: &Rc<Self>) {
+        let heard = self.state.borrow().heard;
+        if self.now().since(heard) >= PROBE_PAUSE {
+            self.probe();
+        }
+    }
+
+    /// Tries a fresh connection, after one that broke or has gone silent.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.now();
         if !self.is_direct()
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -211,6 +211,9 @@
         }
         state.forget(dropped.len());
         drop(state);
+        for _ in &dropped {
+            self.core.count("connections.ended.unused");
+        }
         close_all(dropped);
     }
 
@@ -377,6 +380,9 @@
             state.idle.push(pooled);
         } else {
             state.forget(1);
+            if kept {
+                self.core.count(pooled.end_metric());
+            }
             dropped.push(pooled);
         }
         drop(state);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -104,10 +104,12 @@
         if !self.send(Output::Granted(grant)).await {
             return;
         }
+        let mut used = false;
         loop {
             tokio::select! {
                 message = self.input.message() => match message.ok().flatten() {
                     Some(v1::LeaseInput { input: Some(Input::Data(bytes)) }) => {
+                        used = true;
                         if lease.pooled.connection.write_raw(&bytes).await.is_err() {
                             break;
                         }
@@ -120,17 +122,23 @@
                     }
                     _ => break,
                 },
-                bytes = lease.pooled.connection.read_raw() => match bytes {
-                    Ok(bytes) if !bytes.is_empty() => {
-                        if !self.send(Output::Data(bytes)).await {
-                            break;
+                bytes = lease.pooled.connection.read_raw() => {
+                    used = true;
+                    match bytes {
+                        Ok(bytes) if !bytes.is_empty() => {
+                            if !self.send(Output::Data(bytes)).await {
+                                break;
+                            }
                         }
+                        _ => break,
                     }
-                    _ => break,
-                },
+                }
             }
         }
-        lease.pooled.connection.close();
+        // A session that stopped waiting for the grant leaves the connection as it was.
+        if used {
+            lease.pooled.connection.close();
+        }
     }
 
     async fn send(&self, output: Output) -> bool {
