feat(gateway): single reads through another entry as one request, positions asked for once a zone

Cause: at 127 entries before targets that accept 84 connections most entries reach a target through another one. Around a loss of power the remaining entries ran out of processor time.

Change: an entry without connections asks one entry of its zone for positions, which asks one in the primary's zone; single reads travel as one request with one reply, whose head comes at once so that a silent entry is noticed. Writes keep the lease.

--- a/crates/core/src/gateway/lender.rs
+++ b/crates/core/src/gateway/lender.rs
@@ -42,6 +42,12 @@
         self.failing.remove(host);
     }
 
+    /// Returns whether an entry gave no answer a moment ago.
+    #[must_use]
+    pub fn is_failing(&self, host: &SharedName, now: Micros) -> bool {
+        self.failing.get(host).is_some_and(|until| *until > now)
+    }
+
     /// Starts a round over `entries`, in their order but for those that gave no answer a moment ago.
     #[must_use]
     pub fn round(&self, entries: &[ProcessHost], detour: bool, now: Micros) -> LenderRound {
@@ -61,8 +67,8 @@
     pub entry: ProcessHost,
     /// Time for which it may let the request wait for a connection.
     pub wait: Micros,
-    /// Time after which it counts as silent.
-    pub limit: Micros,
+    /// Time after which it counts as silent, beside the wait.
+    pub answer_limit: Micros,
 }
 
 /// Round over the entries for one connection.
@@ -88,8 +94,7 @@
         self.turn += 1;
         let last = self.refusals == 1 || self.turn == self.order.len();
         let wait = if last && !self.detour { LAST_WAIT } else { FIRST_WAIT };
-        let wait = wait.min(left);
-        Some(LenderTurn { entry, wait, limit: wait + ANSWER_LIMIT })
+        Some(LenderTurn { entry, wait: wait.min(left), answer_limit: ANSWER_LIMIT })
     }
 
     /// Records that the entry asked last refused.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod lender;
 mod limit;
+mod mark_source;
 mod placement;
 mod share;
 mod table;
@@ -19,6 +20,7 @@
     health::{HealthChange, TargetHealth},
     lender::{LenderBook, LenderRound, LenderTurn},
     limit::AdaptiveLimit,
+    mark_source::{MarkSource, mark_is_due, mark_source},
     placement::{Distance, ReadCandidate, order_candidates},
     share::{ConnectionShare, connection_share, detour_entries, rendezvous_weight},
     table::{GroupRoute, RoutingTable},
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -6,8 +6,9 @@
         failure::{FailureKind, OutcomeClass},
         gateway::{
             AdaptiveLimit, AttemptEnd, ConnectionShare, Distance, FreshnessLog, FreshnessMark,
-            HealthChange, LenderBook, NextStep, ReadCandidate, StatementWork, TargetError,
-            TargetHealth, connection_share, detour_entries, next_step, order_candidates,
+            HealthChange, LenderBook, MarkSource, NextStep, ReadCandidate, StatementWork,
+            TargetError, TargetHealth, connection_share, detour_entries, mark_is_due, mark_source,
+            next_step, order_candidates,
         },
         position::LogPosition,
         route::TargetRole,
@@ -322,7 +323,7 @@
     let mut round = book.round(&hosts, false, ms(100));
     let first = round.next_turn(ms(1_000)).expect("a lender");
     assert_eq!(first.entry.host, hosts[2].host);
-    assert!(first.limit <= ms(300), "a silent entry is given up soon");
+    assert!(first.wait + first.answer_limit <= ms(300), "a silent entry is given up soon");
     book.answered(&hosts[0].host);
     let first = book.round(&hosts, false, ms(100)).next_turn(ms(1_000)).expect("a lender");
     assert_eq!(first.entry.host, hosts[0].host);
@@ -334,3 +335,40 @@
     }
     assert_eq!(round.next_turn(ms(1_000)), None);
 }
+
+// Guards against entries that all ask each primary for its position. Load: 127 entries in 6 zones before 8 primaries
+// that lend their connections.
+#[test]
+fn positions_are_asked_for_once_a_zone() {
+    let entries = hosts(127);
+    let mut asked = BTreeMap::new();
+    for group in 0..8 {
+        let zone = format!("z{}", group % 6);
+        for own in &entries {
+            let share = connection_share(own, &report(&zone), true, 84, &entries);
+            let source = mark_source(own, &share, &entries, |_| false);
+            match source {
+                MarkSource::Primary => {
+                    assert!(matches!(share, ConnectionShare::Direct(_)));
+                }
+                MarkSource::Entry(entry) => {
+                    let far = entry.zone != own.zone;
+                    assert!(!far || entry.zone.as_ref() == zone, "the lender is near the primary");
+                    *asked.entry((group, far)).or_insert(0) += 1;
+                }
+            }
+        }
+        assert_eq!(asked[&(group, true)], 5, "one entry of each other zone asks far away");
+    }
+    // A gatherer that gives no answer is replaced by another one.
+    let own = &entries[0];
+    let share = connection_share(own, &report("z1"), true, 84, &entries);
+    let MarkSource::Entry(first) = mark_source(own, &share, &entries, |_| false) else {
+        panic!("no connections of its own")
+    };
+    let second = mark_source(own, &share, &entries, |entry| entry.host == first.host);
+    assert_ne!(second, MarkSource::Entry(first));
+    // Marks of an entry that others ask stay younger.
+    assert!(mark_is_due(Some(ms(300)), true) && !mark_is_due(Some(ms(300)), false));
+    assert!(mark_is_due(None, false) && mark_is_due(Some(ms(600)), false));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,8 @@
         directory::{ProcessHost, TargetReport},
         failure::FailureKind,
         gateway::{
-            ConnectionShare, FreshnessLog, FreshnessMark, GroupRoute, ReadCandidate, RoutingTable,
-            connection_share, detour_entries,
+            ConnectionShare, FreshnessLog, FreshnessMark, GroupRoute, MarkSource, ReadCandidate,
+            RoutingTable, connection_share, detour_entries, mark_is_due, mark_source,
         },
         names::SharedName,
         position::LogPosition,
@@ -103,6 +103,8 @@
     log: RefCell<FreshnessLog>,
     /// When a read last needed a mark.
     wanted: Cell<Micros>,
+    /// When another entry last asked for a mark.
+    shared: Cell<Micros>,
 }
 
 impl GroupFreshness {
@@ -119,9 +121,18 @@
         }
     }
 
-    /// Returns the newest mark's time and the time of the last read that needed one.
-    pub(crate) fn ages(&self) -> (Option<Micros>, Micros) {
-        (self.log.borrow().newest().map(|mark| mark.asked), self.wanted.get())
+    /// Returns the newest mark for another entry.
+    pub(crate) fn share(&self, now: Micros) -> Option<FreshnessMark> {
+        self.shared.set(now);
+        self.log.borrow().newest()
+    }
+
+    /// Returns whether a younger mark is needed; `life` is the time for which a demand stands.
+    pub(crate) fn is_due(&self, now: Micros, life: Micros) -> bool {
+        let stands = |asked: Micros| asked > Micros::ZERO && now.since(asked) < life;
+        let shared = stands(self.shared.get());
+        let age = self.log.borrow().newest().map(|mark| now.since(mark.asked));
+        (shared || stands(self.wanted.get())) && mark_is_due(age, shared)
     }
 }
 
@@ -266,6 +277,15 @@
         pool
     }
 
+    /// Returns where this entry learns the positions of a group's primary from.
+    pub(crate) fn mark_source(&self, group: &SharedName) -> MarkSource {
+        let table = self.table();
+        let Some(leader) = self.leader(&table, group, &[]) else { return MarkSource::Primary };
+        let now = self.now();
+        let fails = |entry: &ProcessHost| self.core.relay.is_failing(&entry.host, now);
+        mark_source(&self.core.own, &leader.share(), table.entries.values(), fails)
+    }
+
     /// Returns the newest known position of a group's primary and its age in microseconds.
     pub(crate) fn newest_mark(&self, group: &SharedName) -> (Option<LogPosition>, u64) {
         let now = self.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,11 +4,13 @@
 //! It needs no lease: the position that a read is sent with decides its freshness, and a server that
 //! has lost the lead refuses writes. Groups without such servers use `banyansill-entry`.
 
+mod attempt;
 mod follow;
 mod gateway;
 mod marks;
 mod pool;
 mod process;
+mod read;
 mod relay;
 mod session;
 pub mod settings;
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -17,7 +17,7 @@
     banyansill_target::{
         ConnectError, ConnectionOptions, StartRequest, StatementProtocol, TargetConnection,
     },
-    std::{rc::Rc, time::Duration},
+    std::{pin::pin, rc::Rc, time::Duration},
     tokio::{
         sync::oneshot,
         time::{sleep, timeout},
@@ -36,7 +36,11 @@
 const REFUSED_WAIT: Micros = Micros::from_millis(200);
 
 /// Wait after no other entry could reach the target either.
-const DETOUR_PAUSE: Micros = Micros::from_millis(300);
+pub(super) const DETOUR_PAUSE: Micros = Micros::from_millis(300);
+
+/// Time without an answer to an introduction, or to anything else, after which a target counts as lost. A
+/// host that hangs still accepts connections.
+const SILENT_LIMIT: Micros = Micros::from_millis(400);
 
 /// Time without a sign of life of a target after which a late answer is a reason to try a fresh connection.
 const PROBE_PAUSE: Micros = Micros::from_millis(250);
@@ -167,8 +171,15 @@
             let state = self.state.borrow();
             (state.address.clone(), state.share.clone())
         };
-        let opened = open(&self.core, (&self.group, &self.target), &address, &share, plan);
-        let opened = opened.await;
+        let name = (&self.group, &self.target);
+        let mut opening = pin!(open(&self.core, name, &address, &share, plan));
+        let opened = match timeout(SILENT_LIMIT.as_duration(), &mut opening).await {
+            Ok(opened) => opened,
+            Err(_) => {
+                self.note_if_silent(begun);
+                opening.await
+            }
+        };
         let now = self.now();
         if opened.is_err() {
             self.state.borrow_mut().forget(1);
@@ -196,6 +207,13 @@
         }
     }
 
+    /// Counts a target that has sent nothing since `begun` as lost while its answer is still awaited.
+    fn note_if_silent(&self, begun: Micros) {
+        if self.is_direct() && self.state.borrow().heard < begun {
+            self.note_lost(begun, "no answer to an introduction yet");
+        }
+    }
+
     /// Leases a connection of another entry that is counted as open already.
     async fn open_detour(&self, plan: &OpenPlan) -> Result<PooledConnection<P>, LeaseFailure> {
         let entries = self.state.borrow().detour.clone();
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -4,16 +4,24 @@
     super::{
         connection::{PooledConnection, SessionValues},
         lease::TargetLease,
+        opening::DETOUR_PAUSE,
         slot::{SlotHold, SlotKind, SlotWish},
-        state::{PoolState, connections_of},
+        state::{PoolState, TargetPath, connections_of},
+    },
+    crate::{
+        attempt::{AttemptResult, FailedAttempt, judge},
+        gateway::GatewayCore,
+        read::{ReadCall, ReadProof},
+        relay::LenderList,
     },
-    crate::gateway::GatewayCore,
     banyansill_core::{
         collections::{FastMap, FastSet},
         directory::{ProcessHost, TargetReport, TargetState},
         event::EventNumber,
         failure::FailureKind,
-        gateway::{AdaptiveLimit, ConnectionShare, HealthChange, TargetError, TargetHealth},
+        gateway::{
+            AdaptiveLimit, AttemptEnd, ConnectionShare, HealthChange, TargetError, TargetHealth,
+        },
         names::SharedName,
         position::LogPosition,
         queue::{QueueRefusal, QueueRules, SlotQueue, SlotRequest, SlotTicket},
@@ -243,6 +251,61 @@
         !state.is_closing(now) && state.path(now, detour).is_some() && !refused
     }
 
+    /// Returns the entries through which a read reaches the target, or `None` if this one is connected itself.
+    pub(crate) fn lenders(&self, detour: bool) -> Option<LenderList> {
+        let state = self.state.borrow();
+        match (state.path(self.now(), detour)?, &state.share) {
+            (TargetPath::Detour, _) => {
+                Some(LenderList { entries: state.detour.clone(), detour: true })
+            }
+            (TargetPath::Usual, ConnectionShare::Relayed(entries)) => {
+                Some(LenderList { entries: entries.clone(), detour: false })
+            }
+            (TargetPath::Usual, ConnectionShare::Direct(_)) => None,
+        }
+    }
+
+    /// Runs a read on a connection of another entry.
+    pub(crate) async fn read_through(
+        self: &Rc<Self>,
+        lenders: &LenderList,
+        call: &ReadCall,
+    ) -> AttemptResult {
+        let kind = SlotKind::Fresh { detour: lenders.detour };
+        let mut hold =
+            self.wait_for_slot(&call.slot(), kind).await.map_err(FailedAttempt::unleased)?;
+        if lenders.detour {
+            self.probe();
+            self.core.count("reads.detour");
+        }
+        let asked = self.now();
+        let left = call.deadline.since(asked).as_duration();
+        let reading = self.core.relay.read(&self.core, lenders, (&self.group, &self.target), call);
+        let Ok(result) = timeout(left, reading).await else {
+            return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout));
+        };
+        if let Err(failed) = &result
+            && lenders.detour
+            && failed.end == AttemptEnd::NotSent
+        {
+            self.state.borrow_mut().detour_closed_until = self.now() + DETOUR_PAUSE;
+        }
+        let answer = result?;
+        let now = self.now();
+        self.note_answer(now.since(asked), &answer, true, now);
+        hold.ran = Some(now.since(asked));
+        let answer = judge(Ok(answer))?;
+        if call.proof == ReadProof::Lead {
+            self.note_lead(asked, answer.position);
+        }
+        Ok(answer)
+    }
+
+    /// Returns this entry's share of the target's connections.
+    pub(crate) fn share(&self) -> ConnectionShare {
+        self.state.borrow().share.clone()
+    }
+
     /// Returns whether this entry connects to the target itself.
     pub(crate) fn is_direct(&self) -> bool {
         matches!(self.state.borrow().share, ConnectionShare::Direct(_))
@@ -415,6 +478,11 @@
         self.report(change, now);
     }
 
+    /// Learns the position of a target that led at `asked` or later.
+    pub(crate) fn note_lead(&self, asked: Micros, position: Option<LogPosition>) {
+        self.core.freshness(&self.group).record(asked, position);
+    }
+
     /// Learns that the target gave no answer.
     pub(crate) fn note_lost(&self, begun: Micros, reason: &str) {
         let now = self.now();
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -74,8 +74,8 @@
 /// Connections to other entries by address.
 #[derive(Debug, Default)]
 pub(crate) struct RelayClients {
-    channels: RefCell<FastMap<SharedName, Channel>>,
-    lenders: RefCell<LenderBook>,
+    pub(super) channels: RefCell<FastMap<SharedName, Channel>>,
+    pub(super) lenders: RefCell<LenderBook>,
 }
 
 impl RelayClients {
@@ -98,7 +98,8 @@
         let mut last = LeaseFailure { kind: FailureKind::Unreachable, retry_after: Micros::ZERO };
         let mut round = self.lenders.borrow().round(entries, detour, core.clock.now());
         while let Some(turn) = round.next_turn(plan.deadline.since(core.clock.now())) {
-            let LenderTurn { entry, wait, limit } = turn;
+            let LenderTurn { entry, wait, answer_limit } = turn;
+            let limit = wait + answer_limit;
             let asked =
                 timeout(limit.as_duration(), self.ask(core, &entry, name, plan, wait)).await;
             match asked {
@@ -124,7 +125,44 @@
         Err(last)
     }
 
-    fn note_silent(&self, entry: &ProcessHost, reason: &str, now: Micros) {
+    /// Returns whether an entry gave no answer a moment ago.
+    pub(crate) fn is_failing(&self, host: &SharedName, now: Micros) -> bool {
+        self.lenders.borrow().is_failing(host, now)
+    }
+
+    /// Asks another entry for the positions of primaries that it knows.
+    pub(crate) async fn ask_marks<P>(
+        &self,
+        core: &GatewayCore<P>,
+        entry: &ProcessHost,
+        groups: &[SharedName],
+        limit: Micros,
+    ) where
+        P: StatementProtocol,
+    {
+        let asked = core.clock.now();
+        let names = groups.iter().map(ToString::to_string).collect();
+        let question = async {
+            let channel = self.channel(&entry.address).map_err(|error| error.to_string())?;
+            let request = v1::MarksRequest { groups: names };
+            let reply = RelayClient::new(channel).marks(request).await;
+            reply.map_err(|status| status.to_string())
+        };
+        let answered = timeout(limit.as_duration(), question).await;
+        match answered.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
+            Ok(reply) => {
+                for mark in reply.into_inner().marks {
+                    let position = mark.position.map(Into::into);
+                    // The mark was that old when the other entry answered, which was after `asked`.
+                    core.freshness(&mark.group.into())
+                        .record(asked.since(Micros(mark.age_us)), position);
+                }
+            }
+            Err(reason) => self.note_silent(entry, &reason, core.clock.now()),
+        }
+    }
+
+    pub(super) fn note_silent(&self, entry: &ProcessHost, reason: &str, now: Micros) {
         log::debug!("entry {} lends nothing: {reason}", entry.host);
         self.lenders.borrow_mut().failed(&entry.host, now);
     }
@@ -178,7 +216,7 @@
         }
     }
 
-    fn channel(&self, address: &SharedName) -> Result<Channel, tonic::transport::Error> {
+    pub(super) fn channel(&self, address: &SharedName) -> Result<Channel, tonic::transport::Error> {
         if let Some(channel) = self.channels.borrow().get(address) {
             return Ok(channel.clone());
         }
--- /dev/null
+++ b/crates/gateway/src/relay/reads.rs
@@ -0,0 +1,262 @@
+//! Reads that another entry runs on a connection of its own.
+
+use {
+    super::{client::RelayClients, server::lent_pool, state},
+    crate::{
+        attempt::{FailedAttempt, StatementBody},
+        gateway::{Gateway, GatewayCore},
+        pool::{LeaseFailure, PreparedShape},
+        read::{ReadCall, ReadProof, read_here},
+    },
+    banyansill_core::{
+        directory::ProcessHost,
+        failure::FailureKind,
+        gateway::{AttemptEnd, LenderTurn},
+        names::SharedName,
+        time::Micros,
+        transaction::TransactionStatus,
+    },
+    banyansill_target::{StatementAccess, StatementAnswer, StatementProtocol},
+    banyansill_wire::directory_v1::{
+        self as v1, relay_client::RelayClient, relayed_read::Body, relayed_read_reply::Outcome,
+    },
+    std::rc::Rc,
+    tokio::{sync::mpsc, time::timeout},
+    tonic::Status,
+};
+
+/// Time that is left for the way back of an answer; regions are 20 ms apart.
+const RETURN_TIME: Micros = Micros::from_millis(30);
+
+/// Entries through which a target is reached.
+#[derive(Clone, Debug)]
+pub(crate) struct LenderList {
+    pub(crate) entries: Vec<ProcessHost>,
+    /// Whether they are asked because the own path to the target is broken.
+    pub(crate) detour: bool,
+}
+
+/// How a read at another entry went.
+enum RelayedOutcome {
+    Answered(StatementAnswer),
+    /// It was not sent to the target.
+    Refused(LeaseFailure),
+    /// It was sent, and no whole answer came.
+    Lost,
+    /// The entry is silent.
+    NoAnswer(String),
+}
+
+impl RelayClients {
+    /// Runs a read through the first entry that takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the last attempt ended; an answer may still report a failure of the target.
+    pub(crate) async fn read<P>(
+        &self,
+        core: &GatewayCore<P>,
+        lenders: &LenderList,
+        name: (&SharedName, &SharedName),
+        call: &ReadCall,
+    ) -> Result<StatementAnswer, FailedAttempt>
+    where
+        P: StatementProtocol,
+    {
+        let mut last = FailedAttempt::new(AttemptEnd::NotSent, FailureKind::Unreachable);
+        let now = core.clock.now();
+        let mut round = self.lenders.borrow().round(&lenders.entries, lenders.detour, now);
+        while let Some(turn) = round.next_turn(call.patience.since(core.clock.now())) {
+            let host = &turn.entry.host;
+            match self.ask_read(core, name, call, &turn).await {
+                RelayedOutcome::NoAnswer(reason) => {
+                    self.note_silent(&turn.entry, &reason, core.clock.now());
+                    round.was_silent();
+                    continue;
+                }
+                RelayedOutcome::Answered(answer) => {
+                    self.lenders.borrow_mut().answered(host);
+                    return Ok(answer);
+                }
+                RelayedOutcome::Refused(failure) => last = FailedAttempt::unleased(failure),
+                RelayedOutcome::Lost => {
+                    return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::ConnectionLost));
+                }
+            }
+            self.lenders.borrow_mut().answered(host);
+            round.refused();
+        }
+        Err(last)
+    }
+
+    async fn ask_read<P>(
+        &self,
+        core: &GatewayCore<P>,
+        name: (&SharedName, &SharedName),
+        call: &ReadCall,
+        turn: &LenderTurn,
+    ) -> RelayedOutcome
+    where
+        P: StatementProtocol,
+    {
+        let channel = match self.channel(&turn.entry.address) {
+            Ok(channel) => channel,
+            Err(error) => return RelayedOutcome::NoAnswer(error.to_string()),
+        };
+        let request = to_wire(name, call, turn.wait, core.clock.now());
+        let mut client = RelayClient::new(channel);
+        let head = timeout(turn.answer_limit.as_duration(), client.read(request)).await;
+        let mut replies = match head {
+            Ok(Ok(head)) => head.into_inner(),
+            Ok(Err(status)) => {
+                self.channels.borrow_mut().remove(&turn.entry.address);
+                return RelayedOutcome::NoAnswer(status.to_string());
+            }
+            Err(_) => return RelayedOutcome::NoAnswer("no answer in time".to_owned()),
+        };
+        let reply = replies.message().await;
+        match reply.ok().flatten().and_then(|reply| reply.outcome) {
+            Some(Outcome::Answer(answer)) => RelayedOutcome::Answered(answer_from_wire(answer)),
+            Some(Outcome::Refused(refusal)) => RelayedOutcome::Refused(LeaseFailure {
+                kind: FailureKind::from_name(&refusal.kind).unwrap_or(FailureKind::Unreachable),
+                retry_after: Micros::from_millis(refusal.retry_after_ms.into()),
+            }),
+            Some(Outcome::Lost(_)) | None => RelayedOutcome::Lost,
+        }
+    }
+}
+
+/// Read of another entry on its way to the thread of the pools.
+#[derive(Debug)]
+pub(crate) struct LentRead {
+    pub(super) request: v1::RelayedRead,
+    pub(super) reply: mpsc::Sender<Result<v1::RelayedReadReply, Status>>,
+}
+
+impl LentRead {
+    pub(super) async fn serve<P>(self, gateway: Rc<Gateway<P>>)
+    where
+        P: StatementProtocol,
+    {
+        let outcome = match lent_pool(&gateway, &self.request.group, &self.request.target) {
+            Ok(pool) => match from_wire(self.request, gateway.now()) {
+                Some(call) => match read_here(&pool, &call).await {
+                    Ok(answer) => Outcome::Answer(answer_to_wire(answer)),
+                    Err(failed) => failure_to_wire(failed),
+                },
+                None => {
+                    Outcome::Refused(refusal(&LeaseFailure::new(FailureKind::ProtocolViolation)))
+                }
+            },
+            Err(failure) => Outcome::Refused(refusal(&failure)),
+        };
+        // The other entry may have stopped waiting.
+        let _ = self.reply.send(Ok(v1::RelayedReadReply { outcome: Some(outcome) })).await;
+    }
+}
+
+/// Returns the wire form of a refusal.
+pub(super) fn refusal(failure: &LeaseFailure) -> v1::LeaseRefusal {
+    let retry_after_ms = u32::try_from(failure.retry_after.as_millis()).unwrap_or(u32::MAX);
+    v1::LeaseRefusal { kind: failure.kind.name().to_owned(), retry_after_ms }
+}
+
+fn to_wire(
+    (group, target): (&SharedName, &SharedName),
+    call: &ReadCall,
+    wait: Micros,
+    now: Micros,
+) -> v1::RelayedRead {
+    let millis = |span: Micros| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    let body = match &call.body {
+        StatementBody::Text(text) => Body::Text(text.clone()),
+        StatementBody::Prepared { shape, arguments } => Body::Prepared(v1::PreparedRead {
+            shape: shape.shape.clone(),
+            arguments: arguments.clone(),
+        }),
+    };
+    let floor = match call.proof {
+        ReadProof::Position(position) => Some(position.into()),
+        ReadProof::Lead => None,
+    };
+    v1::RelayedRead {
+        group: group.to_string(),
+        target: target.to_string(),
+        database: call.database.to_string(),
+        priority: call.priority,
+        wait_ms: millis(wait),
+        left_ms: millis(call.deadline.since(now).since(RETURN_TIME)),
+        id: call.id.clone(),
+        body: Some(body),
+        floor,
+        values: state::values_to_wire(&call.values),
+    }
+}
+
+fn from_wire(request: v1::RelayedRead, now: Micros) -> Option<ReadCall> {
+    let body = match request.body? {
+        Body::Text(text) => StatementBody::Text(text),
+        Body::Prepared(prepared) => StatementBody::Prepared {
+            shape: PreparedShape { access: StatementAccess::Read, shape: prepared.shape },
+            arguments: prepared.arguments,
+        },
+    };
+    let proof = match request.floor {
+        Some(position) => ReadProof::Position(position.into()),
+        None => ReadProof::Lead,
+    };
+    Some(ReadCall {
+        id: request.id,
+        body,
+        values: state::values_from_wire(request.values),
+        proof,
+        database: request.database.into(),
+        priority: request.priority,
+        patience: now + Micros::from_millis(request.wait_ms.into()),
+        deadline: now + Micros::from_millis(request.left_ms.into()),
+        detour: false,
+    })
+}
+
+fn answer_to_wire(answer: StatementAnswer) -> v1::ReadAnswer {
+    let (fault, text) = match answer.outcome {
+        Ok(signature) => (v1::TargetFault::None, signature),
+        Err((error, detail)) => (state::fault_to_wire(error), detail),
+    };
+    v1::ReadAnswer {
+        rows: answer.rows,
+        fault: fault.into(),
+        text,
+        position: answer.position.map(Into::into),
+    }
+}
+
+fn answer_from_wire(answer: v1::ReadAnswer) -> StatementAnswer {
+    let outcome = match state::fault_from_wire(answer.fault()) {
+        None => Ok(answer.text),
+        Some(error) => Err((error, answer.text)),
+    };
+    StatementAnswer {
+        rows: answer.rows,
+        outcome,
+        status: TransactionStatus::Idle,
+        position: answer.position.map(Into::into),
+    }
+}
+
+fn failure_to_wire(failed: FailedAttempt) -> Outcome {
+    match failed.end {
+        AttemptEnd::NotSent => {
+            let FailedAttempt { failure, .. } = failed;
+            let failure = LeaseFailure { kind: failure.kind, retry_after: failure.retry_after };
+            Outcome::Refused(refusal(&failure))
+        }
+        AttemptEnd::Reported(error) => Outcome::Answer(v1::ReadAnswer {
+            rows: Vec::new(),
+            fault: state::fault_to_wire(error).into(),
+            text: failed.failure.detail,
+            position: failed.position.map(Into::into),
+        }),
+        AttemptEnd::Lost => Outcome::Lost(v1::ReadLost {}),
+    }
+}
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -1,10 +1,13 @@
 //! Lending connections to other entries.
 
 use {
-    super::state,
+    super::{
+        reads::{LentRead, refusal},
+        state,
+    },
     crate::{
         gateway::Gateway,
-        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetLease},
+        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetLease, TargetPool},
     },
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
     banyansill_target::StatementProtocol,
@@ -15,7 +18,7 @@
         relay_server::{Relay, RelayServer},
     },
     std::rc::Rc,
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
     tokio_stream::wrappers::ReceiverStream,
     tonic::{Request, Response, Status, Streaming},
 };
@@ -30,7 +33,18 @@
 
 /// Request of another entry on its way to the thread of the pools.
 #[derive(Debug)]
-pub(crate) struct RelayRequest {
+pub(crate) enum RelayRequest {
+    /// It wants a connection.
+    Lease(LeaseCall),
+    /// It wants the answer to a read.
+    Read(LentRead),
+    /// It wants the positions of primaries.
+    Marks { groups: Vec<String>, reply: oneshot::Sender<v1::MarksReply> },
+}
+
+/// Connection that another entry wants.
+#[derive(Debug)]
+pub(crate) struct LeaseCall {
     input: Streaming<v1::LeaseInput>,
     output: OutputSender,
 }
@@ -50,6 +64,11 @@
         let (inbox, requests) = mpsc::channel(INBOX_DEPTH);
         (RelayServer::new(Self { inbox }), requests)
     }
+
+    fn submit(&self, request: RelayRequest) -> Result<(), Status> {
+        let full = |_| Status::resource_exhausted("too many requests wait");
+        self.inbox.try_send(request).map_err(full)
+    }
 }
 
 #[tonic::async_trait]
@@ -61,17 +80,68 @@
         request: Request<Streaming<v1::LeaseInput>>,
     ) -> Result<Response<Self::LeaseStream>, Status> {
         let (output, replies) = mpsc::channel(OUTPUT_DEPTH);
-        let request = RelayRequest { input: request.into_inner(), output };
-        self.inbox
-            .try_send(request)
-            .map_err(|_| Status::resource_exhausted("too many requests wait"))?;
+        self.submit(RelayRequest::Lease(LeaseCall { input: request.into_inner(), output }))?;
+        Ok(Response::new(ReceiverStream::new(replies)))
+    }
+
+    type ReadStream = ReceiverStream<Result<v1::RelayedReadReply, Status>>;
+
+    async fn read(
+        &self,
+        request: Request<v1::RelayedRead>,
+    ) -> Result<Response<Self::ReadStream>, Status> {
+        let (reply, replies) = mpsc::channel(1);
+        self.submit(RelayRequest::Read(LentRead { request: request.into_inner(), reply }))?;
         Ok(Response::new(ReceiverStream::new(replies)))
     }
+
+    async fn marks(
+        &self,
+        request: Request<v1::MarksRequest>,
+    ) -> Result<Response<v1::MarksReply>, Status> {
+        let (reply, marks) = oneshot::channel();
+        self.submit(RelayRequest::Marks { groups: request.into_inner().groups, reply })?;
+        marks.await.map(Response::new).map_err(|_| Status::unavailable("the entry stops"))
+    }
 }
 
 impl RelayRequest {
     /// Serves the request on the thread of the pools.
-    pub(crate) async fn serve<P>(mut self, gateway: Rc<Gateway<P>>)
+    pub(crate) async fn serve<P>(self, gateway: Rc<Gateway<P>>)
+    where
+        P: StatementProtocol,
+    {
+        match self {
+            Self::Lease(call) => call.serve(gateway).await,
+            Self::Read(read) => read.serve(gateway).await,
+            Self::Marks { groups, reply } => {
+                // The other entry may have stopped waiting.
+                let _ = reply.send(gateway.known_marks(groups));
+            }
+        }
+    }
+}
+
+impl<P> Gateway<P>
+where
+    P: StatementProtocol,
+{
+    fn known_marks(&self, groups: Vec<String>) -> v1::MarksReply {
+        let now = self.now();
+        let mut marks = Vec::new();
+        for group in groups {
+            let Some(mark) = self.core.freshness(&group.as_str().into()).share(now) else {
+                continue;
+            };
+            let position = Some(mark.position.into());
+            marks.push(v1::GroupMark { group, position, age_us: now.since(mark.asked).0 });
+        }
+        v1::MarksReply { marks }
+    }
+}
+
+impl LeaseCall {
+    async fn serve<P>(mut self, gateway: Rc<Gateway<P>>)
     where
         P: StatementProtocol,
     {
@@ -80,12 +150,7 @@
         match lend(&gateway, &open).await {
             Ok(lease) => self.pass(&gateway, lease, &open.group.into()).await,
             Err(failure) => {
-                let retry_after_ms = failure.retry_after.as_millis();
-                let refusal = v1::LeaseRefusal {
-                    kind: failure.kind.name().to_owned(),
-                    retry_after_ms: u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
-                };
-                self.send(Output::Refused(refusal)).await;
+                self.send(Output::Refused(refusal(&failure))).await;
             }
         }
     }
@@ -153,15 +218,7 @@
 where
     P: StatementProtocol,
 {
-    let table = gateway.table();
-    let unknown = LeaseFailure { kind: FailureKind::Unreachable, retry_after: Micros::ZERO };
-    let route = table.groups.get(open.group.as_str()).ok_or_else(|| unknown.clone())?;
-    let report = route.target(&open.target).ok_or_else(|| unknown.clone())?;
-    let pool = gateway.pool(&table, route, report);
-    // Two entries that count on each other would pass a request to and fro.
-    if !pool.is_direct() {
-        return Err(unknown);
-    }
+    let pool = lent_pool(gateway, &open.group, &open.target)?;
     let database = SharedName::from(open.database.as_str());
     let slot = SlotWish {
         database: &database,
@@ -181,3 +238,25 @@
     }
     Ok(lease)
 }
+
+/// Returns the pool of a target whose connections this entry may lend.
+///
+/// # Errors
+///
+/// Returns a refusal if the target is not known here or this entry has no connections to it.
+pub(super) fn lent_pool<P>(
+    gateway: &Rc<Gateway<P>>,
+    group: &str,
+    target: &str,
+) -> Result<Rc<TargetPool<P>>, LeaseFailure>
+where
+    P: StatementProtocol,
+{
+    let table = gateway.table();
+    let unknown = LeaseFailure::new(FailureKind::Unreachable);
+    let route = table.groups.get(group).ok_or_else(|| unknown.clone())?;
+    let report = route.target(&SharedName::from(target)).ok_or_else(|| unknown.clone())?;
+    let pool = gateway.pool(&table, route, report);
+    // Two entries that count on each other would pass a request to and fro.
+    if pool.is_direct() { Ok(pool) } else { Err(unknown) }
+}
--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::pool::{PreparedShape, SessionValues},
-    banyansill_core::collections::FastMap,
+    banyansill_core::{collections::FastMap, gateway::TargetError},
     banyansill_target::StatementAccess,
     banyansill_wire::directory_v1 as v1,
 };
@@ -10,11 +10,25 @@
 /// Names of the statements prepared on a connection.
 pub(crate) type PreparedNames = FastMap<PreparedShape, String>;
 
-pub(super) fn to_wire(values: &SessionValues, prepared: &PreparedNames) -> v1::ConnectionState {
-    let mut state = v1::ConnectionState::default();
+pub(super) fn values_to_wire(values: &SessionValues) -> Vec<v1::SessionValue> {
+    let mut wire = Vec::new();
     for (name, value) in values {
-        state.values.push(v1::SessionValue { name: name.clone(), value: value.clone() });
+        wire.push(v1::SessionValue { name: name.clone(), value: value.clone() });
     }
+    wire
+}
+
+pub(super) fn values_from_wire(wire: Vec<v1::SessionValue>) -> SessionValues {
+    let mut values = SessionValues::new();
+    for value in wire {
+        values.insert(value.name, value.value);
+    }
+    values
+}
+
+pub(super) fn to_wire(values: &SessionValues, prepared: &PreparedNames) -> v1::ConnectionState {
+    let mut state =
+        v1::ConnectionState { values: values_to_wire(values), ..v1::ConnectionState::default() };
     for (shape, name) in prepared {
         state.prepared.push(v1::PreparedStatement {
             name: name.clone(),
@@ -26,10 +40,7 @@
 }
 
 pub(super) fn from_wire(state: v1::ConnectionState) -> (SessionValues, PreparedNames) {
-    let mut values = SessionValues::new();
-    for value in state.values {
-        values.insert(value.name, value.value);
-    }
+    let values = values_from_wire(state.values);
     let mut prepared = PreparedNames::default();
     for statement in state.prepared {
         let access = if statement.writes { StatementAccess::Write } else { StatementAccess::Read };
@@ -37,3 +48,37 @@
     }
     (values, prepared)
 }
+
+pub(super) const fn fault_to_wire(error: TargetError) -> v1::TargetFault {
+    match error {
+        TargetError::Busy => v1::TargetFault::Busy,
+        TargetError::UnknownStatement => v1::TargetFault::UnknownStatement,
+        TargetError::Lagging => v1::TargetFault::Lagging,
+        TargetError::ReadOnly => v1::TargetFault::ReadOnly,
+        TargetError::Misrouted => v1::TargetFault::Misrouted,
+        TargetError::TooManyConnections => v1::TargetFault::TooManyConnections,
+        TargetError::Aborted => v1::TargetFault::Aborted,
+        TargetError::Failed => v1::TargetFault::Failed,
+        TargetError::TimedOut => v1::TargetFault::TimedOut,
+        TargetError::InDoubt => v1::TargetFault::InDoubt,
+        TargetError::Malformed => v1::TargetFault::Malformed,
+    }
+}
+
+/// Returns the failure that a target reported, or `None` if it reported none.
+pub(super) const fn fault_from_wire(fault: v1::TargetFault) -> Option<TargetError> {
+    match fault {
+        v1::TargetFault::None => None,
+        v1::TargetFault::Busy => Some(TargetError::Busy),
+        v1::TargetFault::UnknownStatement => Some(TargetError::UnknownStatement),
+        v1::TargetFault::Lagging => Some(TargetError::Lagging),
+        v1::TargetFault::ReadOnly => Some(TargetError::ReadOnly),
+        v1::TargetFault::Misrouted => Some(TargetError::Misrouted),
+        v1::TargetFault::TooManyConnections => Some(TargetError::TooManyConnections),
+        v1::TargetFault::Aborted => Some(TargetError::Aborted),
+        v1::TargetFault::Failed => Some(TargetError::Failed),
+        v1::TargetFault::TimedOut => Some(TargetError::TimedOut),
+        v1::TargetFault::InDoubt => Some(TargetError::InDoubt),
+        v1::TargetFault::Malformed => Some(TargetError::Malformed),
+    }
+}
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -4,10 +4,11 @@
     super::{
         codec::CallerCodec,
         listener::{SessionShared, StopStage},
-        outcome::{StatementFailure, StatementResult, StatementTrace, position_text},
+        outcome::{StatementResult, StatementTrace, position_text},
         transaction::OpenTransaction,
     },
     crate::{
+        attempt::{StatementBody, StatementFailure},
         gateway::Gateway,
         pool::{LeaseWish, PreparedShape, SessionValues, SlotWish},
     },
@@ -99,15 +100,6 @@
     output: BytesMut,
 }
 
-/// Statement that a target runs.
-#[derive(Clone, Debug)]
-pub(super) enum StatementBody {
-    /// Text of the caller.
-    Text(Bytes),
-    /// Prepared statement with the caller's arguments.
-    Prepared { shape: PreparedShape, arguments: Bytes },
-}
-
 /// Request of a caller that a target runs.
 #[derive(Clone, Debug)]
 pub(super) struct StatementRequest {
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         caller::{CallerSession, StatementRequest},
-        outcome::{StatementFailure, StatementResult, StatementTrace, position_text},
-        transaction::{run_body, run_body_at},
+        outcome::{StatementResult, StatementTrace, position_text},
     },
     crate::{
+        attempt::{AttemptResult, FailedAttempt, StatementFailure, judge, run_body},
         gateway::Gateway,
-        pool::{LeaseFailure, LeaseWish, SessionValues, SlotWish, TargetPool},
+        pool::TargetPool,
+        read::{ReadCall, ReadProof, read_at},
     },
     banyansill_core::{
         directory::{ReadRule, RouteRule},
@@ -19,7 +20,7 @@
         position::LogPosition,
         time::Micros,
     },
-    banyansill_target::{StatementAccess, StatementAnswer, StatementProtocol},
+    banyansill_target::{StatementAccess, StatementProtocol},
     bytes::Bytes,
     std::{rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::timeout},
@@ -44,36 +45,6 @@
 /// Longest wait for a primary that has to prove a read's freshness before replicas are tried again.
 const LEADER_PATIENCE: Micros = Micros::from_millis(150);
 
-/// How one attempt ended, with its answer or the target's word.
-type AttemptResult = Result<StatementAnswer, FailedAttempt>;
-
-/// Attempt without a successful answer.
-#[derive(Clone, Debug)]
-struct FailedAttempt {
-    end: AttemptEnd,
-    /// What the target said, or why there was no connection.
-    failure: StatementFailure,
-    /// Position of the target's log, if it answered.
-    position: Option<LogPosition>,
-}
-
-impl FailedAttempt {
-    const fn new(end: AttemptEnd, kind: FailureKind) -> Self {
-        Self { end, failure: StatementFailure::new(kind), position: None }
-    }
-
-    /// Returns whether the queue of the target is too long for the request.
-    fn is_refusal(&self) -> bool {
-        self.failure.kind == FailureKind::Overloaded && self.end == AttemptEnd::NotSent
-    }
-
-    const fn unleased(failure: LeaseFailure) -> Self {
-        let LeaseFailure { kind, retry_after } = failure;
-        let failure = StatementFailure { kind, retry_after, detail: Bytes::new() };
-        Self { end: AttemptEnd::NotSent, failure, position: None }
-    }
-}
-
 impl<P> CallerSession<P>
 where
     P: StatementProtocol,
@@ -150,7 +121,7 @@
         }
         let asked = self.gateway.now();
         let left = request.deadline.since(asked).as_duration();
-        match timeout(left, run_body(&mut lease, request)).await {
+        match timeout(left, run_body(&mut lease, &request.id, &request.body, None)).await {
             Ok(result) => judge(result),
             Err(_) => {
                 lease.settle();
@@ -171,7 +142,8 @@
                 None => Vec::new(),
             };
             trace.floor = floor;
-            while let Some(pool) = (!order.is_empty()).then(|| order.remove(0)) {
+            while let Some(floor) = floor.filter(|_| !order.is_empty()) {
+                let pool = order.remove(0);
                 trace.attempts += 1;
                 trace.target = Some(pool.target.clone());
                 let second = order.first().cloned();
@@ -185,7 +157,9 @@
                     NextStep::GiveUp(kind) => {
                         return Err(StatementFailure { kind, ..failed.failure });
                     }
-                    NextStep::Retry => log_attempt(&request.id, &pool.target, floor, &failed),
+                    NextStep::Retry => {
+                        log_attempt(&request.id, &pool.target, Some(floor), &failed);
+                    }
                 }
                 if self.gateway.now() >= request.deadline {
                     return Err(failed.failure);
@@ -244,7 +218,7 @@
         pool: &Rc<TargetPool<P>>,
         second: Option<Rc<TargetPool<P>>>,
         request: &StatementRequest,
-        floor: Option<LogPosition>,
+        floor: LogPosition,
         trace: &mut StatementTrace,
     ) -> AttemptResult {
         let mut first = self.spawn_read(pool, request, floor);
@@ -293,21 +267,30 @@
         }
     }
 
+    /// Starts a read, which runs to its end even if nobody waits for it any more.
     fn spawn_read(
         &self,
         pool: &Rc<TargetPool<P>>,
         request: &StatementRequest,
-        floor: Option<LogPosition>,
+        floor: LogPosition,
     ) -> JoinHandle<AttemptResult> {
-        let attempt = ReadAttempt {
-            gateway: Rc::clone(&self.gateway),
-            pool: Rc::clone(pool),
-            database: self.database.clone(),
+        let pool = Rc::clone(pool);
+        let call = self.read_call(request, ReadProof::Position(floor));
+        tokio::task::spawn_local(async move { read_at(&pool, &call).await })
+    }
+
+    fn read_call(&self, request: &StatementRequest, proof: ReadProof) -> ReadCall {
+        ReadCall {
+            id: request.id.clone(),
+            body: request.body.clone(),
             values: self.values.clone(),
-            request: request.clone(),
-            floor,
-        };
-        tokio::task::spawn_local(attempt.run())
+            proof,
+            database: self.database.clone(),
+            priority: request.route.priority,
+            patience: request.deadline,
+            deadline: request.deadline,
+            detour: proof == ReadProof::Lead,
+        }
     }
 
     /// Reads at the primary inside a transaction, which it refuses once it has lost the lead.
@@ -316,6 +299,7 @@
         request: &StatementRequest,
         trace: &mut StatementTrace,
     ) -> AttemptResult {
+        let call = self.read_call(request, ReadProof::Lead);
         let mut refused: Vec<SharedName> = Vec::new();
         let latest = request.route.reads == ReadRule::Latest;
         let patience = if latest {
@@ -336,7 +320,7 @@
             trace.attempts += 1;
             trace.target = Some(pool.target.clone());
             trace.floor = None;
-            last = match self.try_read_at_leader(&pool, request).await {
+            last = match read_at(&pool, &call).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
@@ -357,89 +341,6 @@
             }
         }
     }
-
-    async fn try_read_at_leader(
-        &self,
-        pool: &Rc<TargetPool<P>>,
-        request: &StatementRequest,
-    ) -> AttemptResult {
-        let wish = self.wish(&request.route, request.deadline, Micros(u64::MAX), (false, true));
-        let mut lease = pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
-        let attempt = async {
-            lease
-                .pooled
-                .align(&self.values)
-                .await
-                .map_err(|end| FailedAttempt::new(end, FailureKind::Unreachable))?;
-            lease.begin(false, None).await.map_err(|end| match end {
-                AttemptEnd::Reported(error) => FailedAttempt::new(end, error.failure()),
-                _ => FailedAttempt::new(end, FailureKind::Unreachable),
-            })?;
-            let asked = self.gateway.now();
-            let answer = judge(run_body(&mut lease, request).await)?;
-            self.gateway.core.freshness(&request.route.group).record(asked, answer.position);
-            Ok(answer)
-        };
-        let asked = self.gateway.now();
-        let left = request.deadline.since(asked).as_duration();
-        let Ok(result) = timeout(left, attempt).await else {
-            lease.settle();
-            return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout));
-        };
-        lease.settle();
-        result
-    }
-}
-
-/// One attempt of a read, which runs to its end even if nobody waits for it any more.
-struct ReadAttempt<P>
-where
-    P: StatementProtocol,
-{
-    gateway: Rc<Gateway<P>>,
-    pool: Rc<TargetPool<P>>,
-    database: SharedName,
-    values: SessionValues,
-    request: StatementRequest,
-    floor: Option<LogPosition>,
-}
-
-impl<P> ReadAttempt<P>
-where
-    P: StatementProtocol,
-{
-    async fn run(self) -> AttemptResult {
-        let slot = SlotWish {
-            database: &self.database,
-            priority: self.request.route.priority,
-            deadline: self.request.deadline,
-        };
-        let wish = LeaseWish {
-            slot,
-            values: &self.values,
-            trusted_idle: Micros(u64::MAX),
-            transaction: false,
-            detour: false,
-        };
-        let mut lease = self.pool.lease(&wish).await.map_err(FailedAttempt::unleased)?;
-        let asked = self.gateway.now();
-        let attempt = async {
-            lease
-                .pooled
-                .align(&self.values)
-                .await
-                .map_err(|end| FailedAttempt::new(end, FailureKind::Unreachable))?;
-            judge(run_body_at(&mut lease, &self.request, self.floor).await)
-        };
-        let left = self.request.deadline.since(asked).as_duration();
-        match timeout(left, attempt).await {
-            Ok(result) => result,
-            Err(_) => {
-                lease.settle();
-                Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
-            }
-        }
-    }
 }
 
 impl<P> Gateway<P>
@@ -459,26 +360,6 @@
     }
 }
 
-fn judge(result: Result<StatementAnswer, AttemptEnd>) -> AttemptResult {
-    match result {
-        Ok(answer) => match answer.outcome.clone() {
-            Ok(_) => Ok(answer),
-            Err((error, detail)) => {
-                let failure = StatementFailure { detail, ..StatementFailure::new(error.failure()) };
-                let position = answer.position;
-                Err(FailedAttempt { end: AttemptEnd::Reported(error), failure, position })
-            }
-        },
-        Err(end) => {
-            let kind = match end {
-                AttemptEnd::NotSent => FailureKind::Unreachable,
-                _ => FailureKind::ConnectionLost,
-            };
-            Err(FailedAttempt::new(end, kind))
-        }
-    }
-}
-
 fn joined(result: Result<AttemptResult, tokio::task::JoinError>) -> AttemptResult {
     result
         .unwrap_or_else(|_| Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::ConnectionLost)))
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -3,12 +3,14 @@
 use {
     super::{
         caller::{
-            CallerSession, SessionEnd, StatementBody, StatementRequest, TransactionState,
-            statement_deadline,
+            CallerSession, SessionEnd, StatementRequest, TransactionState, statement_deadline,
         },
-        outcome::{StatementFailure, StatementResult, StatementTrace},
+        outcome::{StatementResult, StatementTrace},
+    },
+    crate::{
+        attempt::{StatementFailure, run_body},
+        pool::TargetLease,
     },
-    crate::pool::TargetLease,
     banyansill_core::{
         directory::{ReadRule, RouteRule},
         event::EventNumber,
@@ -190,7 +192,8 @@
             let usual = open.lease.pool().health().latency();
             let patience = Micros(usual.0 * LOST_FACTOR).max(LOST_MINIMUM);
             let left = request.deadline.since(self.gateway.now()).min(patience).as_duration();
-            let attempt = timeout(left, run_body(&mut open.lease, request)).await;
+            let attempt =
+                timeout(left, run_body(&mut open.lease, &request.id, &request.body, None)).await;
             let answer = match attempt {
                 Ok(Ok(answer)) => answer,
                 // Nothing was committed, so the end of the connection is a roll-back.
@@ -362,46 +365,3 @@
         );
     }
 }
-
-/// Runs the body of a statement on a leased connection.
-///
-/// # Errors
-///
-/// Returns how the attempt ended if no whole answer came.
-pub(super) async fn run_body<P>(
-    lease: &mut TargetLease<P>,
-    request: &StatementRequest,
-) -> Result<StatementAnswer, AttemptEnd>
-where
-    P: StatementProtocol,
-{
-    run_body_at(lease, request, None).await
-}
-
-/// Runs the body of a statement at a position that the target's log must have.
-///
-/// # Errors
-///
-/// Returns how the attempt ended if no whole answer came.
-pub(super) async fn run_body_at<P>(
-    lease: &mut TargetLease<P>,
-    request: &StatementRequest,
-    floor: Option<banyansill_core::position::LogPosition>,
-) -> Result<StatementAnswer, AttemptEnd>
-where
-    P: StatementProtocol,
-{
-    let id = &request.id;
-    match &request.body {
-        StatementBody::Text(text) => lease.run(TargetRequest::Run { id, floor, text }).await,
-        StatementBody::Prepared { shape, arguments } => {
-            let name = lease.pooled.prepare(shape).await?;
-            let request = TargetRequest::Execute { id, floor, name: &name, arguments };
-            let answer = lease.run(request).await?;
-            if matches!(answer.outcome, Err((TargetError::UnknownStatement, _))) {
-                lease.pooled.forget(shape);
-            }
-            Ok(answer)
-        }
-    }
-}
