test: count late answers of all callers, not of the workload alone

Only the workload's six callers were counted; they see two to four such answers a run, so a run without one is expected now and then. The bound stays: at least one, or the test has shown nothing.

--- a/crates/banyansill/tests/late_answers.rs
+++ b/crates/banyansill/tests/late_answers.rs
@@ -16,7 +16,7 @@
         task::JoinHandle,
         time::{sleep, timeout},
     },
-    tokio_postgres::{Client, NoTls},
+    tokio_postgres::{Client, NoTls, error::SqlState},
 };
 
 /// Deadline of every request in this test's sheet.
@@ -96,14 +96,23 @@
             }
         }
         Err(error) => {
-            let code =
-                error.code().map_or_else(|| error.to_string(), |code| code.code().to_owned());
-            result.cancelled += u64::from(code == "57014");
-            *result.errors.entry(code).or_default() += 1;
+            let code = error.code().map(SqlState::code);
+            result.cancelled += u64::from(code == Some("57014"));
+            let text = match error.as_db_error() {
+                Some(answer) => format!("{} {}", answer.code().code(), answer.message()),
+                None => error.to_string(),
+            };
+            *result.errors.entry(text).or_default() += 1;
         }
     }
 }
 
+/// Counts the requests whose deadline passed while a target ran them.
+fn late_answers(errors: &BTreeMap<String, u64>) -> u64 {
+    let late = errors.iter().filter(|(text, _)| text.contains("while the request ran"));
+    late.map(|(_, number)| number).sum()
+}
+
 /// Guards against an answer that reaches the next request after its own was given up, a cancel that
 /// hits another caller's request, and an answer that is cut.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -150,10 +159,12 @@
     sleep(Duration::from_secs(1)).await;
     stop.send(true).unwrap();
     let mut sums = (0, 0);
+    let mut late = 0;
     for echo in echoes {
         let result = echo.await.unwrap();
         println!("{result:?}");
         sums = (sums.0 + result.answers, sums.1 + result.cancelled);
+        late += late_answers(&result.errors);
     }
     assert!(sums.0 > 50 && sums.1 > 5, "answers and cancelled {sums:?}");
     let result = workload.finish().await;
@@ -163,11 +174,7 @@
     assert!(faults.is_empty(), "{faults:?}\nerrors: {:?}", result.errors);
     assert!(result.history.writes(WriteOutcome::Acknowledged) > 10, "{:?}", result.errors);
     println!("errors {:?}", result.errors);
-    let late: u64 = result
-        .errors
-        .iter()
-        .filter(|(text, _)| text.contains("while the request ran"))
-        .map(|(_, n)| n)
-        .sum();
+    late += late_answers(&result.errors);
+    println!("late answers {late}");
     assert!(late > 0, "no answer was late: {:?}", result.errors);
 }
