feat(gateway): log the queue that refused a statement, and the request that a transaction ended with

Cause: 'overloaded' in BS601 did not tell which queue refused and why, and a BEGIN could not be found by its identifier. BS607 holds running, waiting, slots, latency and the time left; BS603 the request. A refusal of the queue has no BS602 any more, since BS607 says the same.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -175,6 +175,8 @@
     SessionEnded = 605, "session ended";
     /// A read was sent to a second target because the first one is silent.
     ReadHedged = 606, "read hedged";
+    /// A statement was refused at once because it would have waited past its deadline.
+    SlotRefused = 607, "slot refused";
 }
 
 impl EventNumber {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
     },
     banyansill_runtime::clock::MonotonicClock,
     banyansill_target::StatementProtocol,
+    bytes::Bytes,
     cadence::{CountedExt, StatsdClient, Timed},
     std::{
         cell::{Cell, RefCell},
@@ -394,7 +395,8 @@
     ) -> Result<(), FailureKind> {
         let table = self.table();
         let leader = self.leader(&table, group, &[]).ok_or(FailureKind::NoPrimary)?;
-        let slot = SlotWish { database: group, priority: 0, deadline: self.now() + limit };
+        let request = &Bytes::new();
+        let slot = SlotWish { request, database: group, priority: 0, deadline: self.now() + limit };
         let wish = LeaseWish {
             slot,
             values: &SessionValues::new(),
--- a/crates/gateway/src/pool/slot.rs
+++ b/crates/gateway/src/pool/slot.rs
@@ -4,12 +4,15 @@
     super::target::TargetPool,
     banyansill_core::{names::SharedName, queue::SlotTicket, time::Micros},
     banyansill_target::StatementProtocol,
+    bytes::Bytes,
     std::rc::Rc,
 };
 
 /// What a statement needs of a target's slots.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlotWish<'a> {
+    /// Caller's identifier of the request; empty if the statement is not a caller's.
+    pub(crate) request: &'a Bytes,
     /// Database of the session.
     pub(crate) database: &'a SharedName,
     /// Priority of its route.
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -363,7 +363,15 @@
                 limit: None,
                 continues: kind == SlotKind::Continued,
             };
-            let ticket = state.queue.enqueue(request, now).map_err(refusal)?;
+            let ticket = match state.queue.enqueue(request, now) {
+                Ok(ticket) => ticket,
+                Err(refused) => {
+                    let failure = refusal(refused);
+                    drop(state);
+                    self.log_refusal(wish, &failure, now);
+                    return Err(failure);
+                }
+            };
             let (sender, granted) = oneshot::channel();
             state.granted.insert(ticket, sender);
             (SlotHold::new(Rc::clone(self), ticket), granted)
@@ -376,6 +384,27 @@
         }
     }
 
+    fn log_refusal(&self, wish: &SlotWish<'_>, failure: &LeaseFailure, now: Micros) {
+        let state = self.state.borrow();
+        log::info!(
+            target: "request",
+            event:display = EventNumber::SlotRefused,
+            request:display = String::from_utf8_lossy(wish.request),
+            group:display = self.group,
+            server:display = self.target,
+            database:display = wish.database,
+            priority = wish.priority,
+            outcome = failure.kind.name(),
+            running = state.queue.running(),
+            waiting = state.queue.waiting(),
+            slots = state.limit.value(),
+            latency_us = state.health.latency().0,
+            left_us = wish.deadline.since(now).0,
+            retry_after_us = failure.retry_after.0;
+            ""
+        );
+    }
+
     /// Gives free slots to waiting requests.
     pub(super) fn start_waiting(&self) {
         let now = self.now();
--- a/crates/gateway/src/read.rs
+++ b/crates/gateway/src/read.rs
@@ -47,7 +47,8 @@
 
 impl ReadCall {
     pub(crate) const fn slot(&self) -> SlotWish<'_> {
-        SlotWish { database: &self.database, priority: self.priority, deadline: self.patience }
+        let Self { id, database, priority, patience, .. } = self;
+        SlotWish { request: id, database, priority: *priority, deadline: *patience }
     }
 }
 
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -17,6 +17,7 @@
         lease_output::Output,
         relay_server::{Relay, RelayServer},
     },
+    bytes::Bytes,
     std::rc::Rc,
     tokio::sync::{mpsc, oneshot},
     tokio_stream::wrappers::ReceiverStream,
@@ -221,6 +222,7 @@
     let pool = lent_pool(gateway, &open.group, &open.target)?;
     let database = SharedName::from(open.database.as_str());
     let slot = SlotWish {
+        request: &Bytes::new(),
         database: &database,
         priority: open.priority,
         deadline: gateway.now() + Micros::from_millis(open.wait_ms.into()),
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -92,6 +92,8 @@
     stage: watch::Receiver<StopStage>,
     pub(super) number: u64,
     pub(super) database: SharedName,
+    /// Caller's identifier of the request that is handled.
+    pub(super) request: Bytes,
     pub(super) values: SessionValues,
     prepared: FastMap<Bytes, PreparedShape>,
     /// Position that the session's reads need at least: its own commits.
@@ -145,6 +147,7 @@
         stage: shared.stage.clone(),
         number,
         database: SharedName::default(),
+        request: Bytes::new(),
         values: SessionValues::new(),
         prepared: FastMap::default(),
         floor: None,
@@ -255,6 +258,7 @@
     }
 
     async fn handle(&mut self, id: Bytes, statement: Statement) -> Result<(), SessionEnd> {
+        self.request = id.clone();
         if matches!(self.transaction, TransactionState::Failed)
             && !matches!(statement, Statement::Commit | Statement::Rollback)
         {
@@ -334,7 +338,8 @@
 
     /// Returns what a statement of the session needs of a target's slots.
     pub(super) const fn slot_wish(&self, route: &RouteRule, deadline: Micros) -> SlotWish<'_> {
-        SlotWish { database: &self.database, priority: route.priority, deadline }
+        let Self { request, database, .. } = self;
+        SlotWish { request, database, priority: route.priority, deadline }
     }
 
     /// Returns what a statement or transaction of the session wants of a connection.
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -157,6 +157,8 @@
                     NextStep::GiveUp(kind) => {
                         return Err(StatementFailure { kind, ..failed.failure });
                     }
+                    // Refusals of the queue have a line of their own.
+                    NextStep::Retry if failed.is_refusal() => {}
                     NextStep::Retry => {
                         log_attempt(&request.id, &pool.target, Some(floor), &failed);
                     }
@@ -324,12 +326,12 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            log_attempt(&request.id, &pool.target, None, &last);
+            if !last.is_refusal() {
+                log_attempt(&request.id, &pool.target, None, &last);
+            }
             let budget = self.gateway.take_retry_for(last.end);
             let retry = next_step(StatementWork::Read, last.end, budget);
-            let overloaded =
-                last.failure.kind == FailureKind::Overloaded && last.end == AttemptEnd::NotSent;
-            if overloaded || matches!(retry, NextStep::GiveUp(_)) {
+            if last.is_refusal() || matches!(retry, NextStep::GiveUp(_)) {
                 return Err(last);
             }
             if matches!(last.end, AttemptEnd::Reported(TargetError::Busy)) {
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -357,6 +357,7 @@
         log::info!(
             target: "request",
             event:display = EventNumber::TransactionEnded,
+            request:display = String::from_utf8_lossy(&self.request),
             session = self.number,
             database:display = self.database,
             reason,
