test(entry): a grant may have ended with its statement before the check looks

The target had stopped the statement before the check looked. The check is now the promise itself, no statement runs without a grant, which a thread that takes its grant with it breaks for the 10 s of the statement.

--- a/crates/entry/tests/broker_threads.rs
+++ b/crates/entry/tests/broker_threads.rs
@@ -60,7 +60,10 @@
     run(async {
         let (host, fake) = primary().await;
         on_thread(start_statement(host.handle.clone(), fake.clone(), write("p"))).await;
-        assert_eq!(host.handle.open_grants(), 1);
+        // On a busy machine the target may have stopped the statement by now; then the grant has ended too.
+        let open = host.handle.open_grants();
+        let running = fake.lock().running;
+        assert!(open == 1 || running == 0, "{running} statements run without a grant");
         host.quiet().await;
         // The target was told to stop and has stopped.
         assert_eq!(fake.lock().running, 0);
