fix(core): every replica of control applies at its start what was committed

Cause: gateways had routes 0.5 to 1.1 s after a loss of all power, depending on the replica that they asked. The commit index was written in ticks only, and a follower in touch with its leader has none; and what the disk showed to be committed was applied at the first tick, 150 to 350 ms after the start, not before the first request. Change: the deadline of the next tick counts both, and the driver ticks before it serves.

--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -247,6 +247,28 @@
     cluster.wait_equal(&numbered(710)).await;
 }
 
+/// Guards against replicas that know nothing after a loss of all power until a leader is elected: those who
+/// ask first would have to wait for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_replica_knows_at_its_start_what_was_committed() {
+    let mut cluster = Cluster::start(3).await;
+    for number in 0..20 {
+        cluster.propose(&number.to_string()).await;
+    }
+    cluster.wait_equal(&numbered(20)).await;
+    // The commit index is written every half second.
+    time::sleep(Duration::from_millis(1_200)).await;
+    for number in 0..3 {
+        cluster.stop(number).await;
+    }
+    for number in 0..3 {
+        cluster.restart(number).await;
+        let known = cluster.hosts[number].as_ref().unwrap().commands().await;
+        assert_eq!(known.len(), 20, "host {number}");
+        cluster.stop(number).await;
+    }
+}
+
 /// Guards against a leader that answers without a majority and against followers that accept
 /// commands or confirm reads.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/core/src/consensus/machine.rs
+++ b/crates/core/src/consensus/machine.rs
@@ -152,13 +152,23 @@
     }
 
     /// Returns when the next tick is needed.
+    ///
+    /// A follower that hears from its leader needs none for an election, but has to write down how far
+    /// the log is committed.
     #[must_use]
     pub fn deadline(&self, now: Micros) -> Micros {
-        match &self.role {
+        if !self.outputs.is_empty() {
+            return now;
+        }
+        let role = match &self.role {
             Role::Leader(leader) => leader.next_heartbeat,
             _ if self.failed || !self.log.members().is_voter(self.identity) => now + ELECTION_MAX,
             _ => self.timer_start + self.timeout,
+        };
+        if self.failed || self.commit_index <= self.hard_state.commit {
+            return role;
         }
+        role.min(self.commit_noted + COMMIT_NOTE_INTERVAL)
     }
 
     /// Returns this replica's identity.
--- a/crates/replica/src/replica/driver.rs
+++ b/crates/replica/src/replica/driver.rs
@@ -127,6 +127,8 @@
     ) {
         let mut request_batch = Vec::new();
         let mut message_batch = Vec::new();
+        // What the disk shows to be committed is applied before the first request is served.
+        self.tick_if_due();
         let stop = loop {
             let now = self.clock.now();
             let wait = self.machine.deadline(now).since(now).as_duration().min(TICK_LIMIT);
@@ -152,9 +154,7 @@
                 }
                 () = time::sleep(wait) => {}
             }
-            if self.machine.deadline(self.clock.now()) <= self.clock.now() {
-                self.step(LogInput::Tick { random: rand::random() });
-            }
+            self.tick_if_due();
             self.start_snapshot();
         };
         let DiskThread { jobs, thread, .. } = self.disk;
@@ -166,6 +166,13 @@
         }
     }
 
+    fn tick_if_due(&mut self) {
+        let now = self.clock.now();
+        if self.machine.deadline(now) <= now {
+            self.step(LogInput::Tick { random: rand::random() });
+        }
+    }
+
     /// Serves requests; proposals of one batch are appended together.
     fn serve(&mut self, batch: &mut Vec<ReplicaRequest<M>>) -> Option<oneshot::Sender<()>> {
         let mut proposals = Vec::new();
