perf(gateway): reads without a mark wait for it instead of queueing at the primary

Cause: after a start, or after two seconds without traffic, no position is known that is young enough, so every bounded or session read ran at the primary to prove its freshness. Change: such a read asks for a mark at once and waits for it, 150 ms at most; without one it leaves the queue of the primary after 150 ms and looks again.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,7 +30,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc, watch},
         time::{MissedTickBehavior, interval, sleep, timeout},
     },
 };
@@ -41,6 +41,10 @@
 /// Wait before the same leader is asked again after it refused as a replica.
 const LEADER_RETRY: Duration = Duration::from_millis(40);
 
+/// Longest wait of a read for a mark: a connection and two round trips between regions that are 20 ms apart,
+/// after which the primary's own queue is no slower.
+const MARK_PATIENCE: Micros = Micros::from_millis(150);
+
 /// Connections allowed per target while no rule names a number.
 const DEFAULT_CONNECTIONS: u32 = 20;
 
@@ -102,6 +106,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct GroupFreshness {
     log: RefCell<FreshnessLog>,
+    /// Wakes reads that wait for a mark.
+    marked: Notify,
     /// When a read last needed a mark.
     wanted: Cell<Micros>,
     /// When another entry last asked for a mark.
@@ -119,9 +125,16 @@
     pub(crate) fn record(&self, asked: Micros, position: Option<LogPosition>) {
         if let Some(position) = position {
             self.log.borrow_mut().record(FreshnessMark { asked, position });
+            self.marked.notify_waiters();
         }
     }
 
+    /// Waits until a mark was recorded, at most for `patience`.
+    async fn wait_marked(&self, patience: Duration) {
+        // Without a mark until then the caller asks the primary itself.
+        let _ = timeout(patience, self.marked.notified()).await;
+    }
+
     /// Returns the newest mark for another entry.
     pub(crate) fn share(&self, now: Micros) -> Option<FreshnessMark> {
         self.shared.set(now);
@@ -148,6 +161,8 @@
     table: watch::Receiver<Arc<RoutingTable>>,
     pools: RefCell<FastMap<SharedName, Rc<TargetPool<P>>>>,
     retries: Cell<RetryBudget>,
+    /// Tells the task that keeps marks young of a group without any.
+    pub(crate) mark_wanted: Notify,
 }
 
 impl<P> Gateway<P>
@@ -165,6 +180,7 @@
             table,
             pools: RefCell::default(),
             retries: Cell::new(RetryBudget::default()),
+            mark_wanted: Notify::new(),
         })
     }
 
@@ -383,6 +399,17 @@
         allowed
     }
 
+    /// Waits for a mark of a group that has none that is young enough, at most until `deadline`.
+    ///
+    /// Load: the first reads after a start. Each of them would otherwise run at the primary to prove its
+    /// freshness, while the replicas are idle.
+    pub(crate) async fn wait_for_mark(&self, group: &SharedName, deadline: Micros) {
+        let freshness = self.core.freshness(group);
+        self.mark_wanted.notify_one();
+        let left = deadline.since(self.now()).min(MARK_PATIENCE);
+        freshness.wait_marked(left.as_duration()).await;
+    }
+
     /// Learns the position of a group's primary with a transaction that does nothing.
     ///
     /// # Errors
--- a/crates/gateway/src/marks.rs
+++ b/crates/gateway/src/marks.rs
@@ -11,7 +11,7 @@
     },
     banyansill_target::StatementProtocol,
     std::{rc::Rc, time::Duration},
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::{task::JoinHandle, time::timeout},
 };
 
 /// Time after a read for which marks are kept young.
@@ -33,7 +33,8 @@
 {
     let mut open = OpenQuestions::default();
     loop {
-        sleep(LOOK_INTERVAL).await;
+        // A read without any mark waits for this look.
+        let _ = timeout(LOOK_INTERVAL, gateway.mark_wanted.notified()).await;
         open.retain(|_, task| !task.is_finished());
         look(&gateway, &mut open);
     }
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -136,7 +136,7 @@
         trace: &mut StatementTrace,
     ) -> StatementResult {
         loop {
-            let floor = self.read_floor(&request.route);
+            let floor = self.floor_in_time(&request.route, request.deadline).await;
             let mut order = match floor {
                 Some(_) => self.read_order(&request.route, floor),
                 None => Vec::new(),
@@ -169,7 +169,14 @@
             }
             // Without a position, or where no target has it, only the primary can prove that its
             // answer lacks nothing.
-            let failed = match self.read_at_leader(request, trace).await {
+            let latest = request.route.reads == ReadRule::Latest;
+            let marked = latest || floor.is_some();
+            let patience = if marked {
+                request.deadline
+            } else {
+                request.deadline.min(self.gateway.now() + LEADER_PATIENCE)
+            };
+            let failed = match self.read_at_leader(request, patience, trace).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
@@ -177,7 +184,7 @@
                 return Err(StatementFailure { kind, ..failed.failure });
             }
             // The primary's queue is longer than the time that is left, and no replica is fresh enough.
-            if failed.is_refusal() {
+            if failed.is_refusal() && (marked || self.gateway.now() >= request.deadline) {
                 return Err(failed.failure);
             }
             if !self.gateway.pause(RETRY_PAUSE, request.deadline).await {
@@ -186,6 +193,20 @@
         }
     }
 
+    /// Returns the position that a read of a route needs, after a wait if none is known yet.
+    pub(super) async fn floor_in_time(
+        &self,
+        route: &RouteRule,
+        deadline: Micros,
+    ) -> Option<LogPosition> {
+        let floor = self.read_floor(route);
+        if floor.is_some() || route.reads == ReadRule::Latest {
+            return floor;
+        }
+        self.gateway.wait_for_mark(&route.group, deadline).await;
+        self.read_floor(route)
+    }
+
     /// Returns the position that a read of a route needs, or `None` if only the primary can tell.
     pub(super) fn read_floor(&self, route: &RouteRule) -> Option<LogPosition> {
         let max_age = match route.reads {
@@ -295,13 +316,16 @@
         }
     }
 
-    /// Reads at the primary inside a transaction, which it refuses once it has lost the lead.
+    /// Reads at the primary inside a transaction, which it refuses once it has lost the lead; `queue_limit` is
+    /// the time until which the read waits for its slots.
     async fn read_at_leader(
         &self,
         request: &StatementRequest,
+        queue_limit: Micros,
         trace: &mut StatementTrace,
     ) -> AttemptResult {
-        let call = self.read_call(request, ReadProof::Lead);
+        let mut call = self.read_call(request, ReadProof::Lead);
+        call.patience = queue_limit;
         let mut refused: Vec<SharedName> = Vec::new();
         let latest = request.route.reads == ReadRule::Latest;
         let patience = if latest {
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -142,7 +142,7 @@
         deadline: Micros,
     ) -> Result<TargetLease<P>, StatementFailure> {
         loop {
-            let Some(floor) = self.read_floor(route) else {
+            let Some(floor) = self.floor_in_time(route, deadline).await else {
                 // The primary's own answer proves that it lacks nothing.
                 return self.open_on_leader(route, deadline).await;
             };
