feat(gateway): entries whose connections a primary refuses lease those of others

Change: while a target refuses connections and none is idle, a write, a transaction or a proof of the lead takes the detour over another entry; no fresh connection is probed meanwhile. Conclusion: kept for callers of such gateways; gateways_without_connections_use_those_of_others fails before (BUSY) and passes after.

--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -128,12 +128,14 @@
         wish: &LeaseWish<'_>,
         ticket: SlotTicket,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
-        {
+        let path = {
             let mut state = self.state.borrow_mut();
+            let path = state.path(self.now(), wish.detour);
             state.claims.remove(&ticket);
             state.open += 1;
-        }
-        let path = self.state.borrow().path(self.now(), wish.detour);
+            state.detoured += u32::from(path == Some(TargetPath::Detour));
+            path
+        };
         if path == Some(TargetPath::Detour) {
             self.probe();
         }
@@ -223,6 +225,7 @@
         if opened.is_err() {
             let mut state = self.state.borrow_mut();
             state.forget(1);
+            state.detoured = state.detoured.saturating_sub(1);
             state.detour_closed_until = self.now() + DETOUR_PAUSE;
         }
         opened
@@ -251,13 +254,16 @@
     /// Tries a fresh connection, after one that broke or has gone silent.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.now();
-        if !self.is_direct()
-            || !self.state.borrow().health.may_try(now)
-            || std::mem::replace(&mut self.state.borrow_mut().probing, true)
-        {
+        if !self.is_direct() {
             return;
         }
-        self.state.borrow_mut().open += 1;
+        let mut state = self.state.borrow_mut();
+        if state.probing || state.is_refused(now) || !state.health.may_try(now) {
+            return;
+        }
+        state.probing = true;
+        state.open += 1;
+        drop(state);
         let pool = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let plan = OpenPlan {
--- a/crates/gateway/src/pool/state.rs
+++ b/crates/gateway/src/pool/state.rs
@@ -46,6 +46,8 @@
     pub(super) detour: Vec<ProcessHost>,
     /// Until when asking them is not worth a try.
     pub(super) detour_closed_until: Micros,
+    /// Connections that were leased from them and are in use.
+    pub(super) detoured: u32,
 }
 
 /// Way to a target.
@@ -60,13 +62,20 @@
 impl<P> PoolState<P> {
     /// Returns the way that a new connection takes, or `None` while no way is worth a try.
     pub(super) fn path(&self, now: Micros, detour: bool) -> Option<TargetPath> {
-        if !self.health.is_failing() {
+        let failing = self.health.is_failing();
+        let refused = self.is_refused(now) && self.idle.is_empty();
+        if !failing && !refused {
             return Some(TargetPath::Usual);
         }
-        if detour && !self.detour.is_empty() && now >= self.detour_closed_until {
+        if detour && self.is_detour_open(now) {
             return Some(TargetPath::Detour);
         }
-        self.health.may_try(now).then_some(TargetPath::Usual)
+        let usual = if failing { self.health.may_try(now) } else { self.open > 0 };
+        usual.then_some(TargetPath::Usual)
+    }
+
+    fn is_detour_open(&self, now: Micros) -> bool {
+        !self.detour.is_empty() && now >= self.detour_closed_until
     }
 
     pub(super) fn is_closing(&self, now: Micros) -> bool {
@@ -74,10 +83,18 @@
     }
 
     /// Returns whether one more session can have a connection.
+    ///
+    /// Load: entries that lost power come back while the target still counts their old connections and
+    /// refuses new ones; those that got none use the connections of the others.
     pub(super) fn has_connection(&self, now: Micros) -> bool {
-        let most = if self.is_refused(now) { 0 } else { connections_of(&self.share) };
-        let spare = most.saturating_sub(self.open) as usize;
-        self.idle.len() + spare > self.claims.len()
+        let spare = if !self.is_refused(now) {
+            connections_of(&self.share).saturating_sub(self.open)
+        } else if self.is_detour_open(now) {
+            RELAYED_CONNECTIONS.saturating_sub(self.detoured)
+        } else {
+            0
+        };
+        self.idle.len() + spare as usize > self.claims.len()
     }
 
     /// Records a sign of life on a path of this entry.
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -126,6 +126,7 @@
             heard: core.clock.now(),
             detour: Vec::new(),
             detour_closed_until: Micros::ZERO,
+            detoured: 0,
         };
         let (group, target) = (report.group.clone(), report.target.clone());
         let pool = Rc::new(Self { core, group, target, state: RefCell::new(state) });
@@ -247,8 +248,7 @@
     pub(crate) fn is_open(&self, detour: bool) -> bool {
         let state = self.state.borrow();
         let now = self.now();
-        let refused = state.is_refused(now) && state.open == 0;
-        !state.is_closing(now) && state.path(now, detour).is_some() && !refused
+        !state.is_closing(now) && state.path(now, detour).is_some()
     }
 
     /// Returns the entries through which a read reaches the target, or `None` if this one is connected itself.
@@ -347,10 +347,12 @@
                     return Err(LeaseFailure::new(FailureKind::Leaving));
                 }
                 if state.path(now, detour).is_none() {
-                    return Err(LeaseFailure::new(FailureKind::Unreachable));
-                }
-                if state.is_refused(now) && state.open == 0 {
-                    return Err(LeaseFailure::new(FailureKind::TargetRefused));
+                    let failing = state.health.is_failing();
+                    return Err(LeaseFailure::new(if failing {
+                        FailureKind::Unreachable
+                    } else {
+                        FailureKind::TargetRefused
+                    }));
                 }
             }
             let request = SlotRequest {
@@ -477,6 +479,9 @@
             state.idle.push(pooled);
         } else {
             state.forget(1);
+            if pooled.is_relayed() {
+                state.detoured = state.detoured.saturating_sub(1);
+            }
             if kept {
                 self.core.count(pooled.end_metric());
             }
