fix(gateway): a mark of another entry keeps its age across the start of a process

Cause: an entry takes over the newest mark of another entry as `asked - age` on its own clock, which began at zero when the process started. A mark older than the process got the time zero, so ten-second-old positions counted as young as the process. Ruled out: the wait for marks; it only made the first reads go to replicas sooner. Change: the clock starts at one hour, so that earlier times can be told, and a mark from before that is dropped.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -20,6 +20,20 @@
     pub position: LogPosition,
 }
 
+impl FreshnessMark {
+    /// Returns the mark of another entry whose answer says that it is `age` old; this entry asked at `asked`.
+    ///
+    /// The other entry answered after `asked`, so the mark is no younger than told. An age beyond the start of
+    /// the clock yields nothing: a time of zero would make an old mark young.
+    #[must_use]
+    pub const fn reported(asked: Micros, age: Micros, position: LogPosition) -> Option<Self> {
+        match asked.0.checked_sub(age.0) {
+            Some(asked) => Some(Self { asked: Micros(asked), position }),
+            None => None,
+        }
+    }
+}
+
 /// Recent marks of one group, in ascending order of their times.
 ///
 /// A mark may only come from an answer that proves that its sender led: a commit, or a statement
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -39,6 +39,24 @@
     assert_eq!(log.floor(ms(2_400), ms(300)), None, "no mark is young enough");
 }
 
+// Guards against a mark of another entry that looks young because this entry's clock started after it: reads of an
+// entry that had just restarted were served without commits of the last ten seconds.
+#[test]
+fn marks_from_before_the_clock_started_are_no_floor() {
+    let position = LogPosition::new(1, 199);
+    assert_eq!(FreshnessMark::reported(ms(1_000), ms(9_000), position), None);
+    let told =
+        FreshnessMark::reported(ms(9_500), ms(9_000), position).expect("a time that can be told");
+    assert_eq!(told, mark_at(500, position));
+    let mut log = FreshnessLog::default();
+    log.record(told);
+    assert_eq!(log.floor(ms(9_500), ms(2_400)), None);
+}
+
+const fn mark_at(asked: u64, position: LogPosition) -> FreshnessMark {
+    FreshnessMark { asked: ms(asked), position }
+}
+
 // Guards against a late answer that lowers the floor, and against marks that are kept for nothing.
 #[test]
 fn late_marks_never_lower_a_floor() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,6 +129,19 @@
         }
     }
 
+    /// Learns the mark of another entry that was `age` old when it answered a question asked at `asked`.
+    pub(crate) fn record_reported(
+        &self,
+        asked: Micros,
+        age: Micros,
+        position: Option<LogPosition>,
+    ) {
+        let Some(position) = position else { return };
+        if let Some(mark) = FreshnessMark::reported(asked, age, position) {
+            self.record(mark.asked, Some(mark.position));
+        }
+    }
+
     /// Waits until a mark was recorded, at most for `patience`.
     async fn wait_marked(&self, patience: Duration) {
         // Without a mark until then the caller asks the primary itself.
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -153,9 +153,8 @@
             Ok(reply) => {
                 for mark in reply.into_inner().marks {
                     let position = mark.position.map(Into::into);
-                    // The mark was that old when the other entry answered, which was after `asked`.
-                    core.freshness(&mark.group.into())
-                        .record(asked.since(Micros(mark.age_us)), position);
+                    let freshness = core.freshness(&mark.group.into());
+                    freshness.record_reported(asked, Micros(mark.age_us), position);
                 }
             }
             Err(reason) => self.note_silent(entry, &reason, core.clock.now()),
@@ -203,9 +202,9 @@
         let first = output.message().await.map_err(|status| silent(status.to_string()))?;
         match first.and_then(|first| first.output) {
             Some(Output::Granted(mut grant)) => {
-                // The mark was that old when the other entry answered, which was after `asked`.
                 let mark = grant.mark.take().map(Into::into);
-                core.freshness(group).record(asked.since(Micros(grant.mark_age_us)), mark);
+                let age = Micros(grant.mark_age_us);
+                core.freshness(group).record_reported(asked, age, mark);
                 Ok(connect(core, input, output, grant))
             }
             Some(Output::Refused(refusal)) => Err(LendError::Refused(LeaseFailure {
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -6,7 +6,11 @@
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// Monotonic clock that counts from its creation; clones share the origin.
+/// Reading of a clock at its creation. Times before it can be told, such as that of a mark which another process
+/// had for seconds when this one started.
+const START: Duration = Duration::from_secs(3_600);
+
+/// Monotonic clock; clones share the origin.
 ///
 /// It counts the time for which the machine was suspended, unlike [`std::time::Instant`]: a process
 /// that wakes up must see that its leases and confirmations have run out.
@@ -16,16 +20,16 @@
 }
 
 impl MonotonicClock {
-    /// Starts a clock at zero.
+    /// Starts a clock at one hour.
     #[must_use]
     pub fn start() -> Self {
         Self { origin: time_since_boot() }
     }
 
-    /// Returns the time since the clock was started.
+    /// Returns the time on the clock.
     #[must_use]
     pub fn now(&self) -> Micros {
-        let micros = time_since_boot().saturating_sub(self.origin).as_micros();
+        let micros = (time_since_boot().saturating_sub(self.origin) + START).as_micros();
         Micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
--- /dev/null
+++ b/crates/runtime/tests/clock.rs
@@ -0,0 +1,14 @@
+//! The clock that leases and ages are counted on.
+
+use {banyansill_core::time::Micros, banyansill_runtime::clock::MonotonicClock};
+
+// Guards against ages that are cut off at the start of a process: a mark of another process that is ten seconds
+// old then looks as young as this process.
+#[test]
+fn times_before_the_start_can_be_told() {
+    let clock = MonotonicClock::start();
+    let age = Micros::from_secs(600);
+    let told = clock.now().since(age);
+    assert_eq!(told + age, clock.now().max(told + age));
+    assert!(clock.now().since(told) >= age, "the age is not cut off");
+}
