feat(core): a primary that most entries reached is kept through a partition

Change: an entry that reached the primary when it was last heard of counts for 8 s; an address that refuses connections overrules that.

--- a/crates/core/src/directory/failover.rs
+++ b/crates/core/src/directory/failover.rs
@@ -23,6 +23,10 @@
 /// Time for which that part has to fail; a path that breaks for a moment is not worth a promotion.
 const OVERRULING_PATIENCE: Micros = Micros::from_millis(1_500);
 
+/// Time for which an entry counts that reached the primary when it was last heard of. Partitions heal after some
+/// seconds; a longer one leaves the callers on control's side without a primary for as long.
+pub const VANISHED_LIFE: Micros = Micros::from_secs(8);
+
 /// What is known of a primary.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PrimaryEvidence {
@@ -40,6 +44,8 @@
     pub entries_failing: u32,
     /// Shortest time for which one of those has failed.
     pub entries_failing_for: Micros,
+    /// Entries that reached the primary when they were last heard of, within `VANISHED_LIFE`.
+    pub entries_vanished: u32,
 }
 
 /// What follows for a primary.
@@ -58,7 +64,9 @@
 impl PrimaryEvidence {
     /// Returns what follows from the evidence.
     ///
-    /// Load: a primary that crashes, goes dark, or is cut off from control, replicas or some entries.
+    /// Load: a primary that crashes, goes dark, or is cut off from control, replicas or some entries. If most
+    /// entries fall silent together with it, they are likely on its side of a partition: a promotion takes the
+    /// lead away from a primary that serves them, and they cannot learn of the new one.
     #[must_use]
     pub const fn verdict(&self) -> PrimaryVerdict {
         if self.gone {
@@ -70,11 +78,14 @@
         let patience = if self.refusing { REFUSING_PATIENCE } else { SILENT_PATIENCE };
         let silent = self.silent_for.0 >= patience.0;
         let failing_share = self.entries_failing * 100;
-        if silent && failing_share >= self.entries * CONFIRMING_PERCENT {
+        // Where the address refuses connections, the process is gone for all of them.
+        let vanished = if self.refusing { 0 } else { self.entries_vanished };
+        let known = self.entries + vanished;
+        if silent && failing_share >= known * CONFIRMING_PERCENT {
             return PrimaryVerdict::Lost;
         }
         if self.entries > 0
-            && failing_share >= self.entries * OVERRULING_PERCENT
+            && failing_share >= known * OVERRULING_PERCENT
             && self.entries_failing_for.0 >= OVERRULING_PATIENCE.0
         {
             return PrimaryVerdict::Lost;
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -14,7 +14,8 @@
 pub use {
     command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
     failover::{
-        CandidateAnswer, ENTRY_PATIENCE, PrimaryEvidence, PrimaryVerdict, choose_candidate,
+        CandidateAnswer, ENTRY_PATIENCE, PrimaryEvidence, PrimaryVerdict, VANISHED_LIFE,
+        choose_candidate,
     },
     routes::{GroupRule, ReadRule, RouteBook, RouteDraft, RouteFault, RouteLimits, RouteRule},
     state::{
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -254,6 +254,30 @@
     assert_eq!(PrimaryEvidence::default().verdict(), PrimaryVerdict::Serving);
 }
 
+// Guards against a promotion on the smaller side of a partition, which takes the lead from a primary that most
+// entries still reach; and against one that never comes although the primary is gone.
+#[test]
+fn a_primary_that_most_entries_reached_is_kept_for_a_while() {
+    let split = PrimaryEvidence {
+        silent_for: ms(3_500),
+        entries: 6,
+        entries_failing: 3,
+        entries_failing_for: ms(3_100),
+        entries_vanished: 12,
+        ..Default::default()
+    };
+    assert_eq!(split.verdict(), PrimaryVerdict::Doubtful);
+    let few = PrimaryEvidence { entries: 3, entries_vanished: 15, ..split };
+    assert_eq!(few.verdict(), PrimaryVerdict::Doubtful, "all that are left fail");
+    let refusing = PrimaryEvidence { refusing: true, ..split };
+    assert_eq!(refusing.verdict(), PrimaryVerdict::Lost, "its process is gone for all");
+    let forgotten = PrimaryEvidence { entries_vanished: 0, ..split };
+    assert_eq!(forgotten.verdict(), PrimaryVerdict::Lost);
+    // Entries of a lost zone do not hold up the promotion of a primary that was lost with it.
+    let zone = PrimaryEvidence { entries: 12, entries_failing: 11, entries_vanished: 6, ..split };
+    assert_eq!(zone.verdict(), PrimaryVerdict::Lost);
+}
+
 fn answer(target: &str, offset: u64, eligible: bool) -> CandidateAnswer {
     CandidateAnswer { target: target.into(), received: LogPosition::new(1, offset), eligible }
 }
--- a/crates/directory/src/reach.rs
+++ b/crates/directory/src/reach.rs
@@ -3,7 +3,7 @@
 use {
     banyansill_core::{
         collections::FastMap,
-        directory::{ENTRY_PATIENCE, PrimaryEvidence},
+        directory::{ENTRY_PATIENCE, PrimaryEvidence, VANISHED_LIFE},
         names::SharedName,
         time::Micros,
     },
@@ -88,6 +88,8 @@
         for reach in self.lock().values() {
             let age = now.since(reach.seen);
             if age >= ENTRY_LIFE {
+                let reached = !reach.failing.contains_key(target);
+                evidence.entries_vanished += u32::from(reached && age < VANISHED_LIFE);
                 continue;
             }
             evidence.entries += 1;
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -236,7 +236,8 @@
                 refusing = evidence.refusing,
                 entries = evidence.entries,
                 entries_failing = evidence.entries_failing,
-                entries_failing_us = evidence.entries_failing_for.0;
+                entries_failing_us = evidence.entries_failing_for.0,
+                entries_vanished = evidence.entries_vanished;
                 ""
             );
         }
