fix(runtime): readiness follows the signal to stop itself

Change: the signal sets a flag in its handler, and only the thread that answers takes the signal, so it sees the flag before it reads a later call.

--- a/crates/directory/src/process.rs
+++ b/crates/directory/src/process.rs
@@ -21,7 +21,10 @@
         replica::{ReplicaError, ReplicaHandle, ReplicaSettings, server_builder},
     },
     banyansill_runtime::{
-        board::MetricBoard, clock::MonotonicClock, events::EventSink, status::StatusListener,
+        board::MetricBoard,
+        clock::MonotonicClock,
+        events::EventSink,
+        status::{ReadyState, StatusListener},
     },
     banyansill_target::StatementProtocol,
     banyansill_wire::directory_v1::{self as v1, directory_server::DirectoryServer},
@@ -124,8 +127,8 @@
     let board = MetricBoard::default();
     let status = match settings.metrics {
         Some(address) => {
-            let ready = Arc::new(AtomicBool::new(true));
-            let opened = StatusListener::bind(&[address], ready, board.clone()).await;
+            let state = ReadyState { ready: Arc::new(AtomicBool::new(true)), stop: None };
+            let opened = StatusListener::bind(&[address], state, board.clone()).await;
             Some(opened.map_err(|source| SpawnError::Listen { address, source })?)
         }
         None => None,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,7 +10,12 @@
     banyansill_core::{
         directory::ProcessHost, event::EventNumber, gateway::RoutingTable, names::SharedName,
     },
-    banyansill_runtime::{board::MetricBoard, clock::MonotonicClock, status::StatusListener},
+    banyansill_runtime::{
+        board::MetricBoard,
+        clock::MonotonicClock,
+        status::{ReadyState, StatusListener},
+        stop::StopFlag,
+    },
     banyansill_target::StatementProtocol,
     miette::Diagnostic,
     std::{
@@ -82,12 +87,16 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-/// Starts a gateway whose callers and targets speak `protocol`.
+/// Starts a gateway whose callers and targets speak `protocol`; it is not ready once `stop` is set.
 ///
 /// # Errors
 ///
 /// Returns an error if a listener cannot be opened.
-pub async fn spawn<P>(settings: GatewaySettings, protocol: P) -> Result<GatewayHandle, GatewayError>
+pub async fn spawn<P>(
+    settings: GatewaySettings,
+    protocol: P,
+    stop: StopFlag,
+) -> Result<GatewayHandle, GatewayError>
 where
     P: StatementProtocol,
 {
@@ -120,7 +129,8 @@
     let ready = Arc::new(AtomicBool::new(false));
     let mut addresses = vec![settings.status];
     addresses.extend(settings.metrics);
-    let status = StatusListener::bind(&addresses, Arc::clone(&ready), board)
+    let state = ReadyState { ready: Arc::clone(&ready), stop: Some(stop) };
+    let status = StatusListener::bind(&addresses, state, board)
         .await
         .map_err(listen_error(settings.status))?;
     let stopping = Arc::new(AtomicBool::new(false));
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod server;
 pub mod settings;
 pub mod status;
+pub mod stop;
 #[cfg(feature = "tls")]
 pub mod tls;
 pub mod tokens;
