fix(runtime): only gateways start their clock at an hour

Cause: the clock of every process started at one hour since; two tests of the entry give leases a fixed end on a clock that starts at zero and failed (admin.rs, two of six). Change: `MonotonicClock::start_at`; gateways, which take over marks of other gateways, start at an hour, all others at zero as before.

--- a/crates/core/tests/commit_notes.rs
+++ b/crates/core/tests/commit_notes.rs
@@ -17,7 +17,7 @@
 
 const STEP: Micros = Micros::from_millis(10);
 
-fn command() -> EntryPayload {
+const fn command() -> EntryPayload {
     EntryPayload::Command(Bytes::from_static(b"a"))
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,6 +9,7 @@
     },
     banyansill_core::{
         directory::ProcessHost, event::EventNumber, gateway::RoutingTable, names::SharedName,
+        time::Micros,
     },
     banyansill_runtime::{
         board::MetricBoard,
@@ -40,6 +41,10 @@
 /// Prefix of the metrics.
 const METRIC_PREFIX: &str = "banyansill.gateway";
 
+/// Reading of the clock at the start: other gateways tell of marks that are older than this process, and marks are
+/// kept for ten seconds.
+const CLOCK_START: Micros = Micros::from_secs(3_600);
+
 /// Time between the loss of readiness and the end of idle sessions: balancers ask every second and
 /// leave an entry out after two misses, so sessions that end earlier would come back here.
 const CLOSING_AFTER: Duration = Duration::from_millis(2_200);
@@ -100,7 +105,7 @@
 where
     P: StatementProtocol,
 {
-    let clock = MonotonicClock::start();
+    let clock = MonotonicClock::start_at(CLOCK_START);
     let board = MetricBoard::default();
     let own = ProcessHost {
         host: settings.host.clone(),
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -6,30 +6,34 @@
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// Reading of a clock at its creation. Times before it can be told, such as that of a mark which another process
-/// had for seconds when this one started.
-const START: Duration = Duration::from_secs(3_600);
-
-/// Monotonic clock; clones share the origin.
+/// Monotonic clock that counts from its creation; clones share the origin.
 ///
 /// It counts the time for which the machine was suspended, unlike [`std::time::Instant`]: a process
 /// that wakes up must see that its leases and confirmations have run out.
 #[derive(Clone, Copy, Debug)]
 pub struct MonotonicClock {
     origin: Duration,
+    /// Reading at the creation.
+    start: Duration,
 }
 
 impl MonotonicClock {
-    /// Starts a clock at one hour.
+    /// Starts a clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { origin: time_since_boot() }
+        Self::start_at(Micros::ZERO)
+    }
+
+    /// Starts a clock at a reading, so that times before its creation can be told.
+    #[must_use]
+    pub fn start_at(reading: Micros) -> Self {
+        Self { origin: time_since_boot(), start: reading.as_duration() }
     }
 
     /// Returns the time on the clock.
     #[must_use]
     pub fn now(&self) -> Micros {
-        let micros = (time_since_boot().saturating_sub(self.origin) + START).as_micros();
+        let micros = (time_since_boot().saturating_sub(self.origin) + self.start).as_micros();
         Micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
--- a/crates/runtime/tests/clock.rs
+++ b/crates/runtime/tests/clock.rs
@@ -6,7 +6,7 @@
 // old then looks as young as this process.
 #[test]
 fn times_before_the_start_can_be_told() {
-    let clock = MonotonicClock::start();
+    let clock = MonotonicClock::start_at(Micros::from_secs(3_600));
     let age = Micros::from_secs(600);
     let told = clock.now().since(age);
     assert_eq!(told + age, clock.now().max(told + age));
