refactor(entry): sessions and brokers depend in one direction

Cause: six files of broker and seven of session imported each other, so none could be read or changed alone. Change: what is shared has files of its own: session has shared (settings and state of the entry), caller_stream, held_grant and state; broker has shared and refusal, and a target takes its owner's parts instead of the hub. Moves only: no decision changed.

--- a/crates/entry/src/broker/grant.rs
+++ b/crates/entry/src/broker/grant.rs
@@ -3,10 +3,11 @@
 use {
     super::{
         connection::TargetConnection,
-        hub::{GrantCount, HubShared},
+        refusal::failure,
+        shared::{GrantCount, HubShared},
         target::{
             HeldSlot, QueuedSlot, SlotAnswer, SlotAssignment, TargetGate, TargetShared, WriteCount,
-            failure, gate_closed,
+            gate_closed,
         },
     },
     crate::link::{
--- a/crates/entry/src/broker/keeper.rs
+++ b/crates/entry/src/broker/keeper.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         connection::{ConnectionFault, TargetConnection},
-        hub::HubShared,
+        shared::HubShared,
         target::{TargetShared, gate_closed},
     },
     banyansill_core::{failure::FailureKind, time::Micros},
--- a/crates/entry/src/broker/mod.rs
+++ b/crates/entry/src/broker/mod.rs
@@ -12,10 +12,12 @@
 mod position;
 mod probe;
 mod pump;
+mod refusal;
 mod remote;
 mod replies;
 mod service;
 mod settings;
+mod shared;
 mod target;
 
 pub use {
--- a/crates/entry/src/broker/position.rs
+++ b/crates/entry/src/broker/position.rs
@@ -1,7 +1,10 @@
 //! Waiting until a replica has reached a position.
 
 use {
-    super::{hub::HubShared, target::TargetShared},
+    super::{
+        shared::{HubShared, micros},
+        target::TargetShared,
+    },
     banyansill_core::{
         broker::{FloorVerdict, compare_floor},
         names::SharedName,
@@ -124,7 +127,7 @@
         until: Instant,
     ) -> bool {
         loop {
-            let left = super::hub::micros(until.saturating_duration_since(Instant::now()));
+            let left = micros(until.saturating_duration_since(Instant::now()));
             if left == Micros::ZERO {
                 return false;
             }
--- a/crates/entry/src/broker/probe.rs
+++ b/crates/entry/src/broker/probe.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         connection::{ConnectionFault, CountedConnection, TargetConnection},
-        hub::HubShared,
+        shared::HubShared,
         target::TargetShared,
     },
     banyansill_core::{
--- a/crates/entry/src/broker/remote.rs
+++ b/crates/entry/src/broker/remote.rs
@@ -4,7 +4,7 @@
     super::{
         connection::{EventLoop, current_loop},
         convert::{input_to_wire, output_from_wire, request_to_wire},
-        target::failure,
+        refusal::failure,
     },
     crate::link::{GrantPeer, GrantRequest, LinkInput, LinkOutput},
     banyansill_core::{
--- a/crates/entry/src/broker/service.rs
+++ b/crates/entry/src/broker/service.rs
@@ -4,7 +4,8 @@
     super::{
         convert::{input_from_wire, output_to_wire, request_from_wire},
         frame::MESSAGE_LIMIT,
-        hub::{BrokerHandle, HubShared},
+        hub::BrokerHandle,
+        shared::HubShared,
     },
     crate::link::{self, GrantLink, LinkInput, LinkOutput},
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
--- a/crates/entry/src/broker/target.rs
+++ b/crates/entry/src/broker/target.rs
@@ -8,7 +8,7 @@
         connection::{
             ConnectionCounter, CountedConnection, EventLoop, TargetConnection, current_loop,
         },
-        hub::HubShared,
+        refusal::failure,
         settings::BrokerSettings,
     },
     crate::{lease::NodeLease, link::LinkFailure},
@@ -33,9 +33,13 @@
     },
 };
 
-/// Returns a failure with its kind's default retry hint.
-pub(super) fn failure(kind: FailureKind, detail: &str) -> LinkFailure {
-    LinkFailure { kind, retry_after: Micros::ZERO, detail: detail.to_owned() }
+/// What a broker takes over from its host.
+#[derive(Debug)]
+pub(super) struct TargetOwner {
+    pub(super) settings: Arc<BrokerSettings>,
+    pub(super) clock: MonotonicClock,
+    pub(super) lease: NodeLease,
+    pub(super) events: EventSink,
 }
 
 /// What the broker may do for its target at the moment.
@@ -221,8 +225,9 @@
         names: (SharedName, SharedName, SharedName),
         size: (u32, u32),
         gate: TargetGate,
-        hub: &HubShared,
+        owner: TargetOwner,
     ) -> Arc<Self> {
+        let TargetOwner { settings, clock, lease, events } = owner;
         let (database, server, address) = names;
         let (slots, connections) = size;
         let state = TargetState {
@@ -238,10 +243,10 @@
             database,
             server,
             address,
-            settings: Arc::clone(&hub.settings),
-            clock: hub.clock,
-            lease: hub.lease.clone(),
-            events: hub.events.clone(),
+            settings,
+            clock,
+            lease,
+            events,
             epoch: gate.epoch,
             retired: AtomicBool::new(false),
             probes: Mutex::default(),
--- a/crates/entry/src/session/auth.rs
+++ b/crates/entry/src/session/auth.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answer,
-        connection::{CallerStream, SessionEnd},
+        caller_stream::{CallerStream, SessionEnd},
         frame::split_text,
     },
     banyansill_core::{collections::FastMap, failure::FailureKind},
--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -2,23 +2,25 @@
 
 use {
     super::{
-        EntryShared, WorkerState, answer,
-        exchange::HeldGrant,
+        answer,
+        caller_stream::{CallerStream, SessionEnd},
+        filter,
         frame::{CallerFrame, FrameCodec, split_text},
+        held_grant::next_output,
         local::LocalReply,
         prepared::{BatchError, CallerBatch, StatementStore},
-        registry::CallerTicket,
         request::{CallerRequest, RequestSummary},
         secure::CallerIo,
-        startup::{self, CallerIdentity},
+        shared::{EntryShared, REFUSAL_MARGIN, WorkerState},
+        startup,
+        state::{BATCH_LIMIT, CallerSession, TransactionState},
     },
-    crate::link::{GrantRouter, LinkOutput, TransactionStatus},
+    crate::link::{GrantRouter, LinkOutput},
     banyansill_core::{
-        failure::FailureKind, floor::SessionFloor, names::SharedName, route::PrimaryStay,
-        time::Micros,
+        failure::FailureKind, floor::SessionFloor, route::PrimaryStay, time::Micros,
     },
-    bytes::{BufMut, Bytes, BytesMut},
-    ntex::{io::Io, util::Either},
+    bytes::{BufMut, BytesMut},
+    ntex::io::Io,
     std::{
         rc::Rc,
         sync::Arc,
@@ -39,128 +41,13 @@
 /// answer it is least likely to send one, so a session in use ends there.
 const DRAIN_IDLE: Duration = Duration::from_secs(1);
 
-/// Bytes of a batch above which it is sent to the target before its Sync has come.
-pub(super) const BATCH_LIMIT: usize = 1 << 20;
-
-/// Why a session ends.
-#[derive(Debug)]
-pub(super) enum SessionEnd {
-    /// The caller closed the connection, or it broke.
-    Closed,
-    /// The caller stopped in the middle of a message or did not read its answers.
-    Stalled,
-    /// The caller is told of a failure and closed.
-    Failure(FailureKind, &'static str),
-}
-
-/// The caller's socket.
-#[derive(Debug)]
-pub(super) struct CallerStream {
-    pub(super) io: CallerIo,
-    pub(super) codec: FrameCodec,
-    stall: Duration,
-}
-
-impl CallerStream {
-    /// Returns the next message, or `None` when the caller has closed the connection.
-    ///
-    /// A caller may be idle for as long as it likes between messages, but not inside one. Dropping
-    /// the future loses nothing.
-    pub(super) async fn next(&self) -> Result<Option<CallerFrame>, SessionEnd> {
-        let mut seen = 0;
-        loop {
-            match timeout(self.stall, self.io.recv(&self.codec)).await {
-                Ok(Ok(frame)) => return Ok(frame),
-                Ok(Err(Either::Left(error))) => {
-                    log::debug!("malformed message: {error}");
-                    return Err(SessionEnd::Failure(
-                        FailureKind::ProtocolViolation,
-                        "message length",
-                    ));
-                }
-                Ok(Err(Either::Right(_))) => return Err(SessionEnd::Closed),
-                Err(_) => {
-                    let waiting = self.codec.waiting();
-                    if waiting > 0 && waiting == seen {
-                        return Err(SessionEnd::Stalled);
-                    }
-                    seen = waiting;
-                }
-            }
-        }
-    }
-
-    /// Appends bytes to what the caller is sent.
-    pub(super) fn put(&self, bytes: &[u8]) -> Result<(), SessionEnd> {
-        self.io.encode_slice(bytes).map_err(|_| SessionEnd::Closed)
-    }
-
-    /// Waits until little enough is unsent; ends the session if the caller does not read.
-    pub(super) async fn relieve(&self) -> Result<(), SessionEnd> {
-        match timeout(self.stall, self.io.flush(false)).await {
-            Ok(result) => result.map_err(|_| SessionEnd::Closed),
-            Err(_) => Err(SessionEnd::Stalled),
-        }
-    }
-}
-
-/// Where a session is with respect to transactions.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum TransactionState {
-    /// Outside a transaction.
-    Idle,
-    /// BEGIN was answered by the proxy and not sent yet.
-    Held {
-        /// The Query message with the caller's BEGIN.
-        begin: Bytes,
-        /// Whether it declares the transaction READ ONLY.
-        read_only: bool,
-    },
-    /// A target runs the transaction on the session's grant.
-    Open,
-    /// The transaction is lost; everything is refused until the caller ends it.
-    Broken {
-        /// Whether the caller still has to be told.
-        untold: bool,
-    },
-}
-
-/// State of one caller's session.
-#[derive(Debug)]
-pub(super) struct CallerSession<R> {
-    pub(super) stream: CallerStream,
-    pub(super) shared: Arc<EntryShared<R>>,
-    pub(super) worker: Rc<WorkerState>,
-    pub(super) identity: CallerIdentity,
-    pub(super) ticket: CallerTicket,
-    pub(super) store: StatementStore,
-    pub(super) batch: CallerBatch,
-    pub(super) floor: SessionFloor,
-    /// Replica that served the latest request, if it was a replica.
-    pub(super) last_replica: Option<SharedName>,
-    pub(super) primary_stay: PrimaryStay,
-    /// Start of the times in `primary_stay`.
-    pub(super) opened: Instant,
-    pub(super) state: TransactionState,
-    pub(super) grant: Option<HeldGrant>,
-    /// Messages are dropped up to the next Sync, as after any error in the extended protocol.
-    pub(super) skipping: bool,
-    /// The Sync of the running exchange was seen.
-    pub(super) sync_seen: bool,
-    /// The target reported an error in the last exchange.
-    pub(super) target_error: bool,
-    draining: watch::Receiver<bool>,
-    /// A statement was run since the planned stop began.
-    served_last: bool,
-}
-
 /// Serves one connection to its end.
 pub(super) async fn serve<R>(io: Io, shared: Arc<EntryShared<R>>, worker: Rc<WorkerState>)
 where
     R: GrantRouter,
 {
     let mut ticket = shared.registry.enter();
-    if shared.registry.open() > shared.settings.max_callers + super::REFUSAL_MARGIN {
+    if shared.registry.open() > shared.settings.max_callers + REFUSAL_MARGIN {
         return;
     }
     let codec = FrameCodec::new(shared.settings.startup_limit);
@@ -285,7 +172,7 @@
             // A pinned session may listen for notifications.
             Some(LinkOutput::Data(data)) if pinned => {
                 let stream = &self.stream;
-                super::filter::pass(&data, &mut self.store, |bytes| stream.put(bytes))?;
+                filter::pass(&data, &mut self.store, |bytes| stream.put(bytes))?;
                 self.stream.relieve().await
             }
             Some(LinkOutput::Granted { .. }) => Ok(()),
@@ -417,30 +304,4 @@
         let request = CallerRequest { data, summary, complete, setting: None };
         self.request(request.remember(setting)).await
     }
-
-    /// Returns the status byte that ReadyForQuery shows the caller.
-    pub(super) fn status(&self) -> u8 {
-        match &self.state {
-            TransactionState::Idle => answer::STATUS_IDLE,
-            TransactionState::Held { .. } => answer::STATUS_OPEN,
-            TransactionState::Broken { .. } => answer::STATUS_FAILED,
-            TransactionState::Open => match self.grant.as_ref().map(|grant| grant.status) {
-                Some(TransactionStatus::Failed) => answer::STATUS_FAILED,
-                _ => answer::STATUS_OPEN,
-            },
-        }
-    }
-
-    /// Sends the caller bytes that the proxy wrote.
-    pub(super) async fn reply(&self, bytes: &[u8]) -> Result<(), SessionEnd> {
-        self.stream.put(bytes)?;
-        self.stream.relieve().await
-    }
-}
-
-async fn next_output(grant: &mut Option<HeldGrant>) -> Option<LinkOutput> {
-    match grant {
-        Some(grant) => grant.link.output.recv().await,
-        None => std::future::pending().await,
-    }
 }
--- a/crates/entry/src/session/exchange.rs
+++ b/crates/entry/src/session/exchange.rs
@@ -3,12 +3,15 @@
 use {
     super::{
         answer,
-        connection::{CallerSession, SessionEnd, TransactionState},
+        caller_stream::SessionEnd,
+        held_grant::HeldGrant,
+        local::LocalReply,
+        prepared::CallerBatch,
         request::{CallerRequest, RequestSummary, strictest_ack},
+        state::{CallerSession, TransactionState},
     },
     crate::link::{
-        GrantAccess, GrantLink, GrantRequest, GrantRouter, LinkFailure, LinkInput,
-        TransactionStatus,
+        GrantAccess, GrantRequest, GrantRouter, LinkFailure, LinkInput, TransactionStatus,
     },
     banyansill_core::{
         failure::FailureKind,
@@ -39,21 +42,6 @@
 /// Interval at which a waiting request looks for a usable target.
 const HANDOVER_POLL: Duration = Duration::from_millis(20);
 
-/// A grant that the session holds.
-#[derive(Debug)]
-pub(super) struct HeldGrant {
-    pub(super) link: GrantLink,
-    pub(super) status: TransactionStatus,
-    /// The session keeps the grant to its end.
-    pub(super) pinned: bool,
-    pub(super) server: SharedName,
-    pub(super) epoch: u64,
-    pub(super) access: GrantAccess,
-    pub(super) on_primary: bool,
-    pub(super) tainted: bool,
-    pub(super) deadline: Duration,
-}
-
 /// How an exchange on a grant ended.
 #[derive(Debug)]
 pub(super) enum ExchangeEnd {
@@ -92,7 +80,7 @@
                 return self.refuse(&plain(FailureKind::TransactionLost), complete).await;
             }
             let mut buffer = BytesMut::new();
-            let reply = super::local::LocalReply::Aborted;
+            let reply = LocalReply::Aborted;
             self.write_local(&mut buffer, &reply);
             return self.end_refusal(buffer, complete).await;
         }
@@ -127,7 +115,7 @@
     async fn end_refusal(&mut self, mut buffer: BytesMut, synced: bool) -> Result<(), SessionEnd> {
         self.store.drop_in_flight();
         self.store.clear_portals();
-        self.batch = super::CallerBatch::default();
+        self.batch = CallerBatch::default();
         self.break_transaction();
         if synced {
             answer::ready(&mut buffer, self.status());
--- a/crates/entry/src/session/local.rs
+++ b/crates/entry/src/session/local.rs
@@ -7,9 +7,9 @@
 use {
     super::{
         answer,
-        connection::{CallerSession, TransactionState},
         replay::{can_replay, is_default},
         startup::kind_setting,
+        state::{CallerSession, TransactionState},
     },
     crate::link::{GrantRouter, LinkInput, TransactionStatus},
     banyansill_core::statement::{StatementAction, StatementProfile},
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -2,56 +2,52 @@
 
 pub mod answer;
 mod auth;
+mod caller_stream;
 mod connection;
 mod exchange;
 mod filter;
 pub mod frame;
+mod held_grant;
 mod local;
 mod prepared;
 mod registry;
 mod replay;
 mod request;
 mod secure;
+mod shared;
 mod startup;
+mod state;
 mod stream;
 
 pub use {
     prepared::{CallerBatch, StatementStore},
     registry::{CallerRegistry, CancelKey},
+    shared::{CallerAuthentication, CallerSettings, SessionCounters},
     startup::{StartupPacket, parse_startup},
 };
 
 use {
     crate::{lease::NodeLease, link::GrantRouter},
-    banyansill_core::{
-        names::SharedName, retry::RetryBudget, route::RouteTable, statement::ProfileCache,
-    },
+    banyansill_core::route::RouteTable,
     banyansill_runtime::{
         events::EventSink,
         server::ServerHandle,
-        tls::{self, TlsFiles, TlsListener},
+        tls::{self, TlsListener},
     },
     cadence::{Counted, Gauged, StatsdClient},
     ntex::{fn_service, io::Io},
+    shared::{EntryShared, WorkerState},
     socket2::{Domain, Protocol, Socket, TcpKeepalive, Type},
     std::{
-        cell::{Cell, RefCell},
         io,
         net::{SocketAddr, TcpListener},
-        path::PathBuf,
         rc::Rc,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::Arc,
         time::Duration,
     },
     tokio::sync::watch,
 };
 
-/// Connections over the limit that are still told why they are refused.
-const REFUSAL_MARGIN: usize = 64;
-
 /// Idle time before TCP keep-alive probes; a caller that vanished is noticed within two minutes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(60);
 
@@ -61,144 +57,6 @@
 /// Interval between two reports of the counters to statsd.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Classifications that each worker caches, per generation.
-const PROFILE_CACHE_SIZE: usize = 1_024;
-
-/// How callers prove who they are.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum CallerAuthentication {
-    /// Every caller is let in.
-    #[default]
-    Trust,
-    /// SCRAM-SHA-256 with a file of one `name:verifier` per line, as PostgreSQL keeps passwords.
-    Scram(PathBuf),
-}
-
-/// Settings of the callers' listener.
-#[derive(Clone, Debug)]
-pub struct CallerSettings {
-    /// Address of the listener; port 0 takes a free one.
-    pub listen: SocketAddr,
-    /// Region of this entry.
-    pub region: SharedName,
-    /// Availability zone of this entry.
-    pub zone: SharedName,
-    /// Threads that serve callers.
-    pub workers: usize,
-    /// Greatest number of callers.
-    pub max_callers: usize,
-    /// Greatest size of a message.
-    pub message_limit: usize,
-    /// Greatest size of a message before authentication.
-    pub startup_limit: usize,
-    /// Time within which a caller must be authenticated.
-    pub startup_timeout: Duration,
-    /// Time after which a caller is closed that stops in the middle of a message or does not read.
-    pub stall_timeout: Duration,
-    /// Time after which a caller is closed that is idle inside a transaction.
-    pub transaction_timeout: Duration,
-    /// How callers prove who they are.
-    pub authentication: CallerAuthentication,
-    /// Certificate and key for callers that ask for TLS.
-    pub tls: Option<TlsFiles>,
-    /// Whether callers without TLS are refused.
-    pub tls_required: bool,
-}
-
-impl CallerSettings {
-    /// Returns the default settings for a listener at `listen`.
-    #[must_use]
-    pub const fn new(listen: SocketAddr, region: SharedName, zone: SharedName) -> Self {
-        Self {
-            listen,
-            region,
-            zone,
-            workers: 4,
-            max_callers: 10_000,
-            message_limit: 16 << 20,
-            startup_limit: 10_000,
-            startup_timeout: Duration::from_secs(10),
-            stall_timeout: Duration::from_secs(30),
-            transaction_timeout: Duration::from_secs(60),
-            authentication: CallerAuthentication::Trust,
-            tls: None,
-            tls_required: false,
-        }
-    }
-}
-
-/// Numbers of what the sessions of an entry did since it started.
-#[derive(Debug, Default)]
-pub struct SessionCounters {
-    /// Requests that were routed to a target.
-    pub requests: AtomicU64,
-    /// Reads that a replica answered.
-    pub replica_reads: AtomicU64,
-    /// Reads that a primary answered.
-    pub primary_reads: AtomicU64,
-    /// Requests that were sent to another target after a failure.
-    pub retries: AtomicU64,
-    /// Failures that the proxy itself reported to callers.
-    pub failures: AtomicU64,
-}
-
-impl SessionCounters {
-    /// Returns the names and values of all counters.
-    #[must_use]
-    pub fn values(&self) -> [(&'static str, u64); 5] {
-        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-        [
-            ("requests", load(&self.requests)),
-            ("replica_reads", load(&self.replica_reads)),
-            ("primary_reads", load(&self.primary_reads)),
-            ("retries", load(&self.retries)),
-            ("failures", load(&self.failures)),
-        ]
-    }
-}
-
-/// What all sessions of an entry share.
-#[derive(Debug)]
-struct EntryShared<R> {
-    settings: CallerSettings,
-    router: R,
-    routes: watch::Receiver<Arc<RouteTable>>,
-    lease: NodeLease,
-    registry: Arc<CallerRegistry>,
-    counters: Arc<SessionCounters>,
-    passwords: Option<auth::PasswordTable>,
-    tls: Option<TlsListener>,
-}
-
-/// What the sessions of one worker thread share.
-#[derive(Debug)]
-struct WorkerState {
-    cache: RefCell<ProfileCache>,
-    retries: Cell<RetryBudget>,
-}
-
-impl WorkerState {
-    fn new() -> Self {
-        Self {
-            cache: RefCell::new(ProfileCache::new(PROFILE_CACHE_SIZE)),
-            retries: Cell::new(RetryBudget::default()),
-        }
-    }
-
-    fn earn_retry(&self) {
-        let mut budget = self.retries.get();
-        budget.record_attempt();
-        self.retries.set(budget);
-    }
-
-    fn take_retry(&self) -> bool {
-        let mut budget = self.retries.get();
-        let allowed = budget.try_retry();
-        self.retries.set(budget);
-        allowed
-    }
-}
-
 /// Listener for callers.
 #[derive(Debug)]
 pub struct CallerServer;
--- a/crates/entry/src/session/prepared.rs
+++ b/crates/entry/src/session/prepared.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answer,
-        connection::SessionEnd,
+        caller_stream::SessionEnd,
         frame::{CallerFrame, split_text},
     },
     banyansill_core::{
--- /dev/null
+++ b/crates/entry/src/session/shared.rs
@@ -0,0 +1,162 @@
+//! What the sessions of an entry share.
+
+use {
+    super::{auth::PasswordTable, registry::CallerRegistry},
+    crate::lease::NodeLease,
+    banyansill_core::{
+        names::SharedName, retry::RetryBudget, route::RouteTable, statement::ProfileCache,
+    },
+    banyansill_runtime::tls::{TlsFiles, TlsListener},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        path::PathBuf,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// Connections over the limit that are still told why they are refused.
+pub(super) const REFUSAL_MARGIN: usize = 64;
+
+/// Classifications that each worker caches, per generation.
+const PROFILE_CACHE_SIZE: usize = 1_024;
+
+/// How callers prove who they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum CallerAuthentication {
+    /// Every caller is let in.
+    #[default]
+    Trust,
+    /// SCRAM-SHA-256 with a file of one `name:verifier` per line, as PostgreSQL keeps passwords.
+    Scram(PathBuf),
+}
+
+/// Settings of the callers' listener.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Address of the listener; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Region of this entry.
+    pub region: SharedName,
+    /// Availability zone of this entry.
+    pub zone: SharedName,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Greatest number of callers.
+    pub max_callers: usize,
+    /// Greatest size of a message.
+    pub message_limit: usize,
+    /// Greatest size of a message before authentication.
+    pub startup_limit: usize,
+    /// Time within which a caller must be authenticated.
+    pub startup_timeout: Duration,
+    /// Time after which a caller is closed that stops in the middle of a message or does not read.
+    pub stall_timeout: Duration,
+    /// Time after which a caller is closed that is idle inside a transaction.
+    pub transaction_timeout: Duration,
+    /// How callers prove who they are.
+    pub authentication: CallerAuthentication,
+    /// Certificate and key for callers that ask for TLS.
+    pub tls: Option<TlsFiles>,
+    /// Whether callers without TLS are refused.
+    pub tls_required: bool,
+}
+
+impl CallerSettings {
+    /// Returns the default settings for a listener at `listen`.
+    #[must_use]
+    pub const fn new(listen: SocketAddr, region: SharedName, zone: SharedName) -> Self {
+        Self {
+            listen,
+            region,
+            zone,
+            workers: 4,
+            max_callers: 10_000,
+            message_limit: 16 << 20,
+            startup_limit: 10_000,
+            startup_timeout: Duration::from_secs(10),
+            stall_timeout: Duration::from_secs(30),
+            transaction_timeout: Duration::from_secs(60),
+            authentication: CallerAuthentication::Trust,
+            tls: None,
+            tls_required: false,
+        }
+    }
+}
+
+/// Numbers of what the sessions of an entry did since it started.
+#[derive(Debug, Default)]
+pub struct SessionCounters {
+    /// Requests that were routed to a target.
+    pub requests: AtomicU64,
+    /// Reads that a replica answered.
+    pub replica_reads: AtomicU64,
+    /// Reads that a primary answered.
+    pub primary_reads: AtomicU64,
+    /// Requests that were sent to another target after a failure.
+    pub retries: AtomicU64,
+    /// Failures that the proxy itself reported to callers.
+    pub failures: AtomicU64,
+}
+
+impl SessionCounters {
+    /// Returns the names and values of all counters.
+    #[must_use]
+    pub fn values(&self) -> [(&'static str, u64); 5] {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        [
+            ("requests", load(&self.requests)),
+            ("replica_reads", load(&self.replica_reads)),
+            ("primary_reads", load(&self.primary_reads)),
+            ("retries", load(&self.retries)),
+            ("failures", load(&self.failures)),
+        ]
+    }
+}
+
+/// What all sessions of an entry share.
+#[derive(Debug)]
+pub(super) struct EntryShared<R> {
+    pub(super) settings: CallerSettings,
+    pub(super) router: R,
+    pub(super) routes: watch::Receiver<Arc<RouteTable>>,
+    pub(super) lease: NodeLease,
+    pub(super) registry: Arc<CallerRegistry>,
+    pub(super) counters: Arc<SessionCounters>,
+    pub(super) passwords: Option<PasswordTable>,
+    pub(super) tls: Option<TlsListener>,
+}
+
+/// What the sessions of one worker thread share.
+#[derive(Debug)]
+pub(super) struct WorkerState {
+    pub(super) cache: RefCell<ProfileCache>,
+    pub(super) retries: Cell<RetryBudget>,
+}
+
+impl WorkerState {
+    pub(super) fn new() -> Self {
+        Self {
+            cache: RefCell::new(ProfileCache::new(PROFILE_CACHE_SIZE)),
+            retries: Cell::new(RetryBudget::default()),
+        }
+    }
+
+    pub(super) fn earn_retry(&self) {
+        let mut budget = self.retries.get();
+        budget.record_attempt();
+        self.retries.set(budget);
+    }
+
+    pub(super) fn take_retry(&self) -> bool {
+        let mut budget = self.retries.get();
+        let allowed = budget.try_retry();
+        self.retries.set(budget);
+        allowed
+    }
+}
--- a/crates/entry/src/session/startup.rs
+++ b/crates/entry/src/session/startup.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        EntryShared, answer,
-        connection::{CallerStream, SessionEnd},
+        answer,
+        caller_stream::{CallerStream, SessionEnd},
         frame::split_text,
         registry::{CallerTicket, CancelKey},
         replay::SettingReplay,
+        shared::EntryShared,
     },
     crate::link::GrantRouter,
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
--- a/crates/entry/src/session/stream.rs
+++ b/crates/entry/src/session/stream.rs
@@ -6,12 +6,14 @@
 use {
     super::{
         answer,
-        connection::{BATCH_LIMIT, CallerSession, SessionEnd},
-        exchange::{ExchangeEnd, HeldGrant, plain},
+        caller_stream::SessionEnd,
+        exchange::{ExchangeEnd, plain},
         filter,
         frame::CallerFrame,
+        held_grant::HeldGrant,
         prepared::BatchError,
         request::{CallerRequest, RequestSummary},
+        state::{BATCH_LIMIT, CallerSession},
     },
     crate::link::{GrantRouter, LinkFailure, LinkInput, LinkOutput, TransactionStatus},
     banyansill_core::{failure::FailureKind, position::LogPosition},
