--- a/crates/runtime/tests/clock.rs
+++ b/crates/runtime/tests/clock.rs
@@ -8,7 +8,6 @@
 fn times_before_the_start_can_be_told() {
     let clock = MonotonicClock::start_at(Micros::from_secs(3_600));
     let age = Micros::from_secs(600);
-    let told = clock.now().since(age);
-    assert_eq!(told + age, clock.now().max(told + age));
-    assert!(clock.now().since(told) >= age, "the age is not cut off");
+    let now = clock.now();
+    assert_eq!(now.since(age) + age, now, "the age is not cut off");
 }
