--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod state;
 mod targets;
+mod teams;
 mod update;
 
 pub use {
@@ -23,5 +24,6 @@
         PromotionRecord,
     },
     targets::{DepartedTarget, ReportOrder, TargetReport, TargetState},
+    teams::{KeyDigest, TeamLimit, TeamRule},
     update::{DirectoryUpdate, GroupView},
 };
--- a/crates/core/src/directory/routes.rs
+++ b/crates/core/src/directory/routes.rs
@@ -1,7 +1,12 @@
 //! Routes: the group that serves a database, the freshness of its reads and the time limit of its statements.
 
 use {
-    crate::{collections::FastSet, names::SharedName, time::Micros},
+    super::teams::TeamRule,
+    crate::{
+        collections::{FastMap, FastSet},
+        names::SharedName,
+        time::Micros,
+    },
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
     thiserror::Error,
@@ -52,6 +57,14 @@
     pub latency_goal: Micros,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether callers need no key.
+    #[serde(default = "default_public")]
+    pub public: bool,
+}
+
+/// Routes written before teams existed need no key.
+const fn default_public() -> bool {
+    true
 }
 
 /// Rule for one database group.
@@ -83,6 +96,9 @@
     pub groups: Vec<GroupRule>,
     /// Limits.
     pub limits: RouteLimits,
+    /// Teams; without any, callers need no key.
+    #[serde(default)]
+    pub teams: Vec<TeamRule>,
 }
 
 /// Reason why a draft cannot be activated.
@@ -110,6 +126,20 @@
         /// The name.
         group: SharedName,
     },
+    /// Two teams have the same name.
+    #[error("two teams have the name {team:?}")]
+    DuplicateTeam {
+        /// The name.
+        team: SharedName,
+    },
+    /// Two teams have a key in common.
+    #[error("the teams {first:?} and {second:?} share a key")]
+    SharedKey {
+        /// Team that lists the key first.
+        first: SharedName,
+        /// The other team.
+        second: SharedName,
+    },
     /// The statement timeout of a route is zero.
     #[error("the statement timeout of database {database:?} is zero")]
     ZeroTimeout {
@@ -146,8 +176,27 @@
                 faults.push(RouteFault::DuplicateRoute { database, path: rule.path.clone() });
             }
         }
+        self.check_teams(&mut faults);
         if faults.is_empty() { Ok(()) } else { Err(faults) }
     }
+
+    fn check_teams(&self, faults: &mut Vec<RouteFault>) {
+        let mut teams = FastSet::default();
+        let mut owners = FastMap::default();
+        for rule in &self.teams {
+            if !teams.insert(&rule.team) {
+                faults.push(RouteFault::DuplicateTeam { team: rule.team.clone() });
+                continue;
+            }
+            for key in &rule.keys {
+                let owner = owners.entry(*key).or_insert(&rule.team);
+                if *owner != &rule.team {
+                    let (first, second) = ((*owner).clone(), rule.team.clone());
+                    faults.push(RouteFault::SharedKey { first, second });
+                }
+            }
+        }
+    }
 }
 
 /// Active routes.
@@ -161,6 +210,9 @@
     pub groups: BTreeMap<SharedName, GroupRule>,
     /// Limits.
     pub limits: RouteLimits,
+    /// Teams by name.
+    #[serde(default)]
+    pub teams: BTreeMap<SharedName, TeamRule>,
     /// Text that the operator sent, returned unchanged when it is read back.
     pub document: String,
 }
@@ -181,6 +233,10 @@
         for rule in draft.groups {
             groups.insert(rule.group.clone(), rule);
         }
-        Self { version: draft.version, routes, groups, limits: draft.limits, document }
+        let mut teams = BTreeMap::new();
+        for rule in draft.teams {
+            teams.insert(rule.team.clone(), rule);
+        }
+        Self { version: draft.version, routes, groups, limits: draft.limits, teams, document }
     }
 }
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -80,6 +80,8 @@
     Route(SharedName),
     /// The rule of a group.
     Rule(SharedName),
+    /// A team.
+    Team(SharedName),
     /// A target.
     Target(SharedName),
     /// A group's primary.
@@ -228,9 +230,13 @@
         for database in routes {
             self.record_change(index, DirectoryItem::Route(database));
         }
+        let teams = changed_keys(&before.teams, &self.data.book.teams);
         for group in rules {
             self.record_change(index, DirectoryItem::Rule(group));
         }
+        for team in teams {
+            self.record_change(index, DirectoryItem::Team(team));
+        }
         self.record_change(index, DirectoryItem::RouteSettings);
         true
     }
--- a/crates/core/src/directory/update.rs
+++ b/crates/core/src/directory/update.rs
@@ -5,6 +5,7 @@
         routes::{GroupRule, RouteLimits, RouteRule},
         state::{DirectoryItem, DirectorySet, DirectoryState, ProcessHost},
         targets::TargetReport,
+        teams::TeamRule,
     },
     crate::{change::ChangeSet, names::SharedName},
 };
@@ -39,6 +40,10 @@
     pub rules: Vec<GroupRule>,
     /// Groups whose rule was removed.
     pub removed_rules: Vec<SharedName>,
+    /// Teams that are new or changed.
+    pub teams: Vec<TeamRule>,
+    /// Teams that were removed.
+    pub removed_teams: Vec<SharedName>,
     /// Targets that are new or changed.
     pub targets: Vec<TargetReport>,
     /// Targets that were removed.
@@ -81,6 +86,7 @@
         update.reset = true;
         update.routes = self.routes().routes.values().cloned().collect();
         update.rules = self.routes().groups.values().cloned().collect();
+        update.teams = self.routes().teams.values().cloned().collect();
         update.targets = self.targets().values().cloned().collect();
         update.entries = self.entries().values().cloned().collect();
         update.controls = self.controls().values().cloned().collect();
@@ -100,6 +106,10 @@
                 Some(rule) => update.rules.push(rule.clone()),
                 None => update.removed_rules.push(name),
             },
+            DirectoryItem::Team(name) => match self.routes().teams.get(&name) {
+                Some(rule) => update.teams.push(rule.clone()),
+                None => update.removed_teams.push(name),
+            },
             DirectoryItem::Target(name) => match self.targets().get(&name) {
                 Some(report) => update.targets.push(report.clone()),
                 None => update.removed_targets.push(name),
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -74,6 +74,10 @@
     MessageTooLarge,
     /// The target ran the statement and reported a failure.
     TargetFailed,
+    /// The team has used up its limit.
+    OverLimit,
+    /// The entry cannot confirm in time that the caller's key is still valid.
+    KeysUnconfirmed,
 }
 
 /// Error response that a caller receives for a failure kind.
@@ -100,7 +104,7 @@
 
 impl FailureKind {
     /// Every kind, in the order of the table in `docs/errors.md`.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::NoLease,
         Self::Draining,
         Self::NoSheet,
@@ -130,6 +134,8 @@
         Self::UnknownStatement,
         Self::MessageTooLarge,
         Self::TargetFailed,
+        Self::OverLimit,
+        Self::KeysUnconfirmed,
     ];
 
     /// Returns the error response for this kind.
@@ -223,6 +229,12 @@
                 answer(NotRun, "54000", "the message is too large; not run", 0)
             }
             Self::TargetFailed => answer(RanFailed, "58000", "the target reported a failure", 0),
+            Self::OverLimit => {
+                answer(NotRun, "53400", "the team has used up its limit; not run", 1_000)
+            }
+            Self::KeysUnconfirmed => {
+                answer(NotRun, "57P03", "this entry cannot confirm keys now; not run", 500)
+            }
         }
     }
 
@@ -259,6 +271,8 @@
             Self::UnknownStatement => "unknown-statement",
             Self::MessageTooLarge => "message-too-large",
             Self::TargetFailed => "target-failed",
+            Self::OverLimit => "over-limit",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
         }
     }
 
--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -4,8 +4,8 @@
     crate::{
         collections::FastMap,
         directory::{
-            DirectoryUpdate, GroupRule, GroupView, ProcessHost, RouteLimits, RouteRule,
-            TargetReport, TargetState,
+            DirectoryUpdate, GroupRule, GroupView, KeyDigest, ProcessHost, RouteLimits, RouteRule,
+            TargetReport, TargetState, TeamRule,
         },
         names::SharedName,
         route::TargetRole,
@@ -68,6 +68,10 @@
     pub limits: RouteLimits,
     /// Routes by database.
     pub routes: FastMap<SharedName, Arc<RouteRule>>,
+    /// Teams by name; without any, callers need no key.
+    pub teams: FastMap<SharedName, Arc<TeamRule>>,
+    /// Teams by the digests of their keys.
+    pub keys: FastMap<KeyDigest, SharedName>,
     /// Groups by name.
     pub groups: FastMap<SharedName, Arc<GroupRoute>>,
     /// Entries by host.
@@ -102,6 +106,7 @@
         for group in update.removed_rules {
             table.change_group(group, |route| route.rule = None);
         }
+        table.change_teams(update.teams, &update.removed_teams);
         for name in update.removed_targets {
             table.remove_target(&name);
         }
@@ -123,6 +128,25 @@
         Some(table)
     }
 
+    fn change_teams(&mut self, changed: Vec<TeamRule>, removed: &[SharedName]) {
+        let names = changed.iter().map(|rule| &rule.team).chain(removed);
+        for name in names {
+            let Some(before) = self.teams.remove(name) else { continue };
+            for key in &before.keys {
+                // Another team may have the key by now.
+                if self.keys.get(key) == Some(name) {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        for rule in changed {
+            for key in &rule.keys {
+                self.keys.insert(*key, rule.team.clone());
+            }
+            self.teams.insert(rule.team.clone(), Arc::new(rule));
+        }
+    }
+
     fn change_group<F>(&mut self, group: SharedName, change: F)
     where
         F: FnOnce(&mut GroupRoute),
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -9,8 +9,7 @@
     directory::{
         CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, GroupRule,
         PrimaryEvidence, PrimaryVerdict, ProcessHost, ProcessKind, ReadRule, ReportOrder,
-        RouteDraft, RouteFault, RouteLimits, RouteRule, TargetReport, TargetState,
-        choose_candidate,
+        RouteDraft, RouteFault, RouteRule, TargetReport, TargetState, choose_candidate,
     },
     gateway::RoutingTable,
     log_rate_limit::LogRateLimiter,
@@ -33,6 +32,7 @@
         statement_timeout: ms(1_000),
         latency_goal: ms(500),
         priority: 1,
+        public: true,
     }
 }
 
@@ -42,7 +42,7 @@
         routes.push(route(database, "g"));
     }
     let groups = vec![GroupRule { group: "g".into(), connections: 71, sync_replicas: 0 }];
-    RouteDraft { version, routes, groups, limits: RouteLimits::default() }
+    RouteDraft { version, routes, groups, ..RouteDraft::default() }
 }
 
 fn report(target: &str, sequence: u64) -> TargetReport {
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -127,6 +127,16 @@
         self.log.inspect(|state| (state.routes().version, state.routes().document.clone())).await
     }
 
+    /// Returns the newest version of the directory if this replica is the leader, confirmed by a majority.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this replica is not the leader or no majority confirms its leadership.
+    pub(crate) async fn confirm_here(&self) -> Result<u64, LogError> {
+        self.log.confirm().await?;
+        self.log.inspect(DirectoryState::version).await
+    }
+
     /// Records the report of a target about itself.
     ///
     /// # Errors
--- a/crates/directory/src/service.rs
+++ b/crates/directory/src/service.rs
@@ -91,6 +91,14 @@
         Ok(Response::new(v1::ReachReply {}))
     }
 
+    async fn confirm(
+        &self,
+        _request: Request<v1::ConfirmRequest>,
+    ) -> Result<Response<v1::ConfirmReply>, Status> {
+        let (version, paces) = (self.node.confirm_here().await.map_err(unavailable)?, Vec::new());
+        Ok(Response::new(v1::ConfirmReply { version, paces }))
+    }
+
     async fn join(
         &self,
         request: Request<v1::JoinRequest>,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -189,6 +189,7 @@
             since: version,
             entry: Some(self.sources.own.clone().into()),
             reach: self.unreachable_targets(),
+            ..v1::FollowRequest::default()
         };
         async move {
             let (reports, receiver) = mpsc::channel(REPORT_QUEUE_CAPACITY);
@@ -296,8 +297,8 @@
     }
 
     fn report(&self, reports: &mpsc::Sender<v1::FollowRequest>) {
-        let request =
-            v1::FollowRequest { since: 0, entry: None, reach: self.unreachable_targets() };
+        let reach = self.unreachable_targets();
+        let request = v1::FollowRequest { reach, ..v1::FollowRequest::default() };
         // A report that does not fit in the queue is superseded by a later one.
         let _ = reports.try_send(request);
     }
--- a/crates/gateway/src/relay/reads.rs
+++ b/crates/gateway/src/relay/reads.rs
@@ -193,6 +193,7 @@
         body: Some(body),
         floor,
         values: state::values_to_wire(&call.values),
+        team: String::new(),
     }
 }
 
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -171,7 +171,7 @@
     async fn start(&mut self) -> Result<(), SessionEnd> {
         let first = timeout(START_TIMEOUT, self.receive()).await;
         match first.map_err(|_| SessionEnd::Closed)?? {
-            CallerMessage::Start { database } => self.database = database,
+            CallerMessage::Start { database, .. } => self.database = database,
             CallerMessage::End => return Err(SessionEnd::Closed),
             CallerMessage::Statement { .. } | CallerMessage::Malformed => {
                 self.refuse_session(FailureKind::ProtocolViolation);
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -81,6 +81,9 @@
     Start {
         /// Requested database.
         database: SharedName,
+        /// What the caller identifies itself with: a key where routes need one, or else any name. It is never
+        /// logged.
+        credential: Bytes,
     },
     /// Runs a statement.
     Statement {
@@ -123,7 +126,7 @@
 pub struct StartRequest {
     /// Group that the target is expected to serve.
     pub group: SharedName,
-    /// Name of the connecting host.
+    /// Team that the connection serves, or the name of the connecting host if it serves none.
     pub user: SharedName,
     /// Name that the target is expected to have.
     pub target: SharedName,
--- a/crates/wire/src/directory.rs
+++ b/crates/wire/src/directory.rs
@@ -4,14 +4,15 @@
     crate::directory_v1 as v1,
     banyansill_core::{
         directory::{
-            DirectoryUpdate, GroupRule, GroupView, ProcessHost, ReadRule, ReportOrder, RouteLimits,
-            RouteRule, TargetReport, TargetState,
+            DirectoryUpdate, GroupRule, GroupView, KeyDigest, ProcessHost, ReadRule, ReportOrder,
+            RouteLimits, RouteRule, TargetReport, TargetState, TeamLimit, TeamRule,
         },
         names::SharedName,
         position::LogPosition,
         route::TargetRole,
         time::Micros,
     },
+    bytes::Bytes,
 };
 
 impl From<LogPosition> for v1::Position {
@@ -62,6 +63,7 @@
             statement_timeout_us: rule.statement_timeout.0,
             latency_goal_us: rule.latency_goal.0,
             priority: rule.priority,
+            keyed: !rule.public,
         }
     }
 }
@@ -82,6 +84,7 @@
             statement_timeout: Micros(route.statement_timeout_us),
             latency_goal: Micros(route.latency_goal_us),
             priority: route.priority,
+            public: !route.keyed,
         }
     }
 }
@@ -106,6 +109,26 @@
     }
 }
 
+impl From<TeamRule> for v1::Team {
+    fn from(rule: TeamRule) -> Self {
+        let mut keys = Vec::new();
+        for key in &rule.keys {
+            keys.push(Bytes::copy_from_slice(key.as_bytes()));
+        }
+        let limit = rule.limit.map(|TeamLimit { rate, burst }| v1::TeamLimit { rate, burst });
+        Self { team: rule.team.to_string(), keys, limit }
+    }
+}
+
+impl From<v1::Team> for TeamRule {
+    fn from(team: v1::Team) -> Self {
+        let limit = team.limit.map(|v1::TeamLimit { rate, burst }| TeamLimit { rate, burst });
+        // A digest of another length matches no key.
+        let keys = team.keys.iter().filter_map(|key| KeyDigest::from_bytes(key)).collect();
+        Self { team: team.team.into(), keys, limit }
+    }
+}
+
 impl From<TargetReport> for v1::Target {
     fn from(report: TargetReport) -> Self {
         Self {
@@ -172,6 +195,9 @@
             removed_entries: to_strings(update.removed_entries),
             controls: convert_all(update.controls),
             removed_controls: to_strings(update.removed_controls),
+            teams: convert_all(update.teams),
+            removed_teams: to_strings(update.removed_teams),
+            ..Self::default()
         }
     }
 }
@@ -194,6 +220,8 @@
             removed_entries: convert_all(reply.removed_entries),
             controls: convert_all(reply.controls),
             removed_controls: convert_all(reply.removed_controls),
+            teams: convert_all(reply.teams),
+            removed_teams: convert_all(reply.removed_teams),
         }
     }
 }
