--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -25,8 +25,8 @@
     placement::{Distance, ReadCandidate, order_candidates},
     relay::{RelayAttempt, RelayHealth, RelaySelection},
     share::{
-        ConnectionShare, DirectEntries, connection_share, detour_entries, direct_entries,
-        rendezvous_weight,
+        ConnectionRule, ConnectionShare, DirectEntries, connection_share, detour_entries,
+        direct_entries, rendezvous_weight, team_holders,
     },
     table::{GroupRoute, RoutingTable},
 };
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -36,6 +36,15 @@
     Relayed(Vec<ProcessHost>),
 }
 
+/// How the connections of a target are shared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionRule {
+    /// Connections that the target accepts from all callers together.
+    pub connections: u32,
+    /// Whether each connection serves one team.
+    pub by_team: bool,
+}
+
 /// Which entries connect to a target directly.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectEntries<'a> {
@@ -59,19 +68,21 @@
 /// Returns the entries that connect to a target directly; all processes find the same ones.
 ///
 /// With enough connections for all, every entry does. Otherwise only entries in the target's zone do: 127 entries in
-/// front of targets that accept 84 connections would have 0.6 connections apiece.
+/// front of targets that accept 84 connections would have 0.6 connections apiece. Connections that serve one team each
+/// are always concentrated in the target's zone.
 #[must_use]
 pub fn direct_entries<'a>(
     report: &TargetReport,
     is_primary: bool,
-    connections: u32,
+    rule: ConnectionRule,
     entries: &'a [ProcessHost],
 ) -> DirectEntries<'a> {
+    let ConnectionRule { connections, by_team } = rule;
     let TargetReport { target, zone, .. } = report;
     let usable = usable_connections(is_primary, connections);
     let count = u32::try_from(entries.len().max(1)).unwrap_or(u32::MAX);
     let per_entry = usable / count;
-    if per_entry >= MIN_DIRECT_CONNECTIONS {
+    if per_entry >= MIN_DIRECT_CONNECTIONS && !by_team {
         return DirectEntries::All(per_entry.min(MAX_DIRECT_CONNECTIONS));
     }
     let mut relays: Vec<&ProcessHost> =
@@ -98,15 +109,15 @@
     own: &ProcessHost,
     report: &TargetReport,
     is_primary: bool,
-    connections: u32,
+    rule: ConnectionRule,
     entries: &[ProcessHost],
 ) -> ConnectionShare {
-    let mut relays = match direct_entries(report, is_primary, connections, entries) {
+    let mut relays = match direct_entries(report, is_primary, rule, entries) {
         DirectEntries::All(per_entry) => return ConnectionShare::Direct(per_entry),
         DirectEntries::Relays(relays) => relays,
     };
     let count = u32::try_from(relays.len().max(1)).unwrap_or(u32::MAX);
-    let per_relay = usable_connections(is_primary, connections) / count;
+    let per_relay = usable_connections(is_primary, rule.connections) / count;
     if relays.is_empty() || relays.iter().any(|entry| entry.host == own.host) {
         return ConnectionShare::Direct(per_relay.clamp(1, MAX_DIRECT_CONNECTIONS));
     }
@@ -122,6 +133,18 @@
     ConnectionShare::Relayed(order)
 }
 
+/// Returns the entries that hold a team's connections to a target, in order of preference; `relays` are the entries
+/// that connect to it directly.
+///
+/// All entries send a team's work to the same few holders, because a connection serves one team and there are hardly
+/// more connections than pairs of team and target.
+#[must_use]
+pub fn team_holders(team: &str, relays: &[ProcessHost]) -> Vec<ProcessHost> {
+    let mut holders = relays.to_vec();
+    holders.sort_by_cached_key(|entry| rendezvous_weight(&entry.host, team));
+    holders
+}
+
 /// Returns the entries through which `own` tries to reach a target that it cannot reach directly, in order of
 /// preference.
 ///
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -5,10 +5,10 @@
         directory::{ProcessHost, ReportOrder, TargetReport, TargetState},
         failure::{FailureKind, OutcomeClass},
         gateway::{
-            AdaptiveLimit, AttemptEnd, ConnectionShare, Distance, FreshnessLog, FreshnessMark,
-            HealthChange, MarkSource, NextStep, ReadCandidate, RelayHealth, StatementEffect,
-            TargetError, TargetHealth, connection_share, detour_entries, mark_is_due, mark_source,
-            next_step, order_candidates,
+            AdaptiveLimit, AttemptEnd, ConnectionRule, ConnectionShare, Distance, FreshnessLog,
+            FreshnessMark, HealthChange, MarkSource, NextStep, ReadCandidate, RelayHealth,
+            StatementEffect, TargetError, TargetHealth, connection_share, detour_entries,
+            mark_is_due, mark_source, next_step, order_candidates,
         },
         position::LogPosition,
         route::TargetRole,
@@ -21,6 +21,10 @@
     Micros::from_millis(millis)
 }
 
+const fn rule(connections: u32) -> ConnectionRule {
+    ConnectionRule { connections, by_team: false }
+}
+
 const fn mark(sent_at: u64, offset: u64) -> FreshnessMark {
     FreshnessMark { sent_at: ms(sent_at), position: LogPosition::new(1, offset) }
 }
@@ -145,7 +149,8 @@
         for leads in [false, true] {
             let mut shares = BTreeMap::new();
             for own in &entries {
-                let share = connection_share(own, &report("z1"), leads, connections, &entries);
+                let share =
+                    connection_share(own, &report("z1"), leads, rule(connections), &entries);
                 shares.insert(own.host.clone(), share);
             }
             let mut sum = 0;
@@ -165,7 +170,7 @@
         }
     }
     let entries = hosts(15);
-    let share = connection_share(&entries[0], &report("z1"), true, 71, &entries);
+    let share = connection_share(&entries[0], &report("z1"), true, rule(71), &entries);
     assert_eq!(share, ConnectionShare::Direct(4));
 }
 
@@ -453,7 +458,7 @@
     for group in 0..8 {
         let zone = format!("z{}", group % 6);
         for own in &entries {
-            let share = connection_share(own, &report(&zone), true, 84, &entries);
+            let share = connection_share(own, &report(&zone), true, rule(84), &entries);
             let source = mark_source(own, &share, &entries, |_| false);
             match source {
                 MarkSource::Primary => {
@@ -474,7 +479,7 @@
     }
     // A collector that does not respond is replaced by another entry.
     let own = &entries[0];
-    let share = connection_share(own, &report("z1"), true, 84, &entries);
+    let share = connection_share(own, &report("z1"), true, rule(84), &entries);
     let MarkSource::Entry(first) = mark_source(own, &share, &entries, |_| false) else {
         panic!("the entry has no direct connections")
     };
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -14,7 +14,7 @@
             PrimaryVerdict, ProcessHost, TargetReport, TargetState, choose_candidate,
         },
         event::EventNumber,
-        gateway::direct_entries,
+        gateway::{ConnectionRule, direct_entries},
         names::SharedName,
         position::LogTerm,
         route::TargetRole,
@@ -115,7 +115,7 @@
     targets: Vec<TargetReport>,
     sync_replicas: u32,
     /// Connections that each target accepts.
-    connections: u32,
+    connections: ConnectionRule,
     entries: Vec<ProcessHost>,
 }
 
@@ -131,7 +131,10 @@
                 .cloned()
                 .collect(),
             sync_replicas: rule.map_or(0, |rule| rule.sync_replicas),
-            connections: rule.map_or(0, |rule| rule.connections),
+            connections: ConnectionRule {
+                connections: rule.map_or(0, |rule| rule.connections),
+                by_team: !state.routes().teams.is_empty(),
+            },
             entries: state.entries().values().cloned().collect(),
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,17 +2,22 @@
 
 use {
     crate::{
-        pool::{LeaseFailure, LeaseOptions, SessionValues, SlotOptions, TargetLease, TargetPool},
+        pool::{
+            ConnectionUser, LeaseFailure, LeaseOptions, SessionValues, SlotOptions, TargetLease,
+            TargetPaths, TargetPool,
+        },
         relay::RelayClients,
         settings::ZoneMap,
+        team_access::TeamAccess,
     },
     banyansill_core::{
         collections::FastMap,
         directory::{ProcessHost, TargetReport},
         failure::FailureKind,
         gateway::{
-            ConnectionShare, FreshnessLog, FreshnessMark, GroupRoute, MarkSource, ReadCandidate,
-            RoutingTable, connection_share, detour_entries, mark_is_due, mark_source,
+            ConnectionRule, DirectEntries, FreshnessLog, FreshnessMark, GroupRoute, MarkSource,
+            ReadCandidate, RoutingTable, connection_share, detour_entries, direct_entries,
+            mark_is_due, mark_source,
         },
         names::SharedName,
         position::LogPosition,
@@ -64,6 +69,7 @@
     pub(crate) protocol: P,
     pub(crate) clock: MonotonicClock,
     pub(crate) relay: RelayClients,
+    pub(crate) teams: TeamAccess,
     pub(crate) reachability_changes: mpsc::UnboundedSender<ReachabilityChange>,
     pub(crate) metrics: StatsdClient,
     pub(crate) freshness: RefCell<FastMap<SharedName, Rc<GroupFreshness>>>,
@@ -255,14 +261,14 @@
                 self.pool(table, route, report).warm_up();
             }
         }
+        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
         for pool in self.all_pools() {
             let route = table.groups.get(&pool.group);
             let report = route.and_then(|route| route.target(&pool.target));
             match (route, report) {
                 (Some(route), Some(report)) => {
-                    let share = self.share(table, route, report);
                     let is_primary = route.primary.as_ref() == Some(&report.target);
-                    pool.update(report, share, self.detour(table, report), is_primary);
+                    pool.update(report, self.paths(table, route, report, &entries), is_primary);
                 }
                 _ => {
                     let gone = self.pools.borrow_mut().remove(&pool.target);
@@ -274,21 +280,26 @@
         }
     }
 
-    fn share(
+    fn paths(
         &self,
         table: &RoutingTable,
         route: &GroupRoute,
         report: &TargetReport,
-    ) -> ConnectionShare {
+        entries: &[ProcessHost],
+    ) -> TargetPaths {
         let connections = route.rule.as_ref().map_or(DEFAULT_CONNECTIONS, |rule| rule.connections);
-        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
+        let by_team = !table.teams.is_empty();
+        let rule = ConnectionRule { connections, by_team };
         let is_primary = route.primary.as_ref() == Some(&report.target);
-        connection_share(&self.core.own, report, is_primary, connections, &entries)
-    }
-
-    fn detour(&self, table: &RoutingTable, report: &TargetReport) -> Vec<ProcessHost> {
-        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
-        detour_entries(&self.core.own, &report.zone, &entries)
+        let team_relays = match direct_entries(report, is_primary, rule, entries) {
+            DirectEntries::Relays(relays) if by_team => relays.into_iter().cloned().collect(),
+            _ => Vec::new(),
+        };
+        TargetPaths {
+            share: connection_share(&self.core.own, report, is_primary, rule, entries),
+            team_relays,
+            detour: detour_entries(&self.core.own, &report.zone, entries),
+        }
     }
 
     /// Returns the pool of a target, which is created on first use.
@@ -301,10 +312,10 @@
         if let Some(pool) = self.pools.borrow().get(&report.target) {
             return Rc::clone(pool);
         }
-        let share = self.share(table, route, report);
+        let entries: Vec<ProcessHost> = table.entries.values().cloned().collect();
+        let paths = self.paths(table, route, report, &entries);
         let is_primary = route.primary.as_ref() == Some(&report.target);
-        let detour = self.detour(table, report);
-        let pool = TargetPool::new(Rc::clone(&self.core), report, share, detour, is_primary);
+        let pool = TargetPool::new(Rc::clone(&self.core), report, paths, is_primary);
         self.pools.borrow_mut().insert(report.target.clone(), Rc::clone(&pool));
         pool
     }
@@ -438,14 +449,20 @@
         let table = self.table();
         let leader = self.leader(&table, group, &[]).ok_or(FailureKind::NoPrimary)?;
         let request = &Bytes::new();
-        let slot =
-            SlotOptions { request, database: group, priority: 0, deadline: self.now() + limit };
+        let slot = SlotOptions {
+            request,
+            database: group,
+            team: &SharedName::default(),
+            priority: 0,
+            deadline: self.now() + limit,
+        };
         let options = LeaseOptions {
             slot,
             values: &SessionValues::new(),
             trusted_idle: Micros(u64::MAX),
             transaction: true,
             detour: true,
+            user: ConnectionUser::Entry,
         };
         let lease = leader.lease(&options).await;
         let mut lease: TargetLease<P> = lease.map_err(|failure: LeaseFailure| failure.kind)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,5 +14,6 @@
 mod relay;
 mod session;
 pub mod settings;
+mod team_access;
 
 pub use process::{GatewayError, GatewayHandle, spawn};
--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::relay::{PreparedNames, RelayHandle},
-    banyansill_core::{gateway::AttemptEnd, time::Micros},
+    banyansill_core::{gateway::AttemptEnd, names::SharedName, time::Micros},
     banyansill_target::{
         ExchangeError, StatementAccess, StatementProtocol, TargetConnection, TargetRequest,
     },
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct PooledConnection<P> {
     pub(crate) connection: TargetConnection<P>,
+    /// Team that the target was told; empty if it was told a host.
+    pub(crate) team: SharedName,
     /// Time of the last answered request, or of the opening.
     pub(crate) last_used: Micros,
     values: SessionValues,
@@ -47,9 +49,10 @@
 where
     P: StatementProtocol,
 {
-    pub(crate) fn new(connection: TargetConnection<P>, now: Micros) -> Self {
+    pub(crate) fn new(connection: TargetConnection<P>, team: SharedName, now: Micros) -> Self {
         Self {
             connection,
+            team,
             last_used: now,
             values: SessionValues::new(),
             prepared: PreparedNames::default(),
@@ -65,7 +68,16 @@
         (values, prepared): (SessionValues, PreparedNames),
         relay: RelayHandle,
     ) -> Self {
-        Self { connection, last_used: now, values, prepared, uncertain: false, relay: Some(relay) }
+        Self {
+            connection,
+            // The other entry returns it to its own pool.
+            team: SharedName::default(),
+            last_used: now,
+            values,
+            prepared,
+            uncertain: false,
+            relay: Some(relay),
+        }
     }
 
     /// Returns whether the connection is relayed by another entry.
@@ -104,7 +116,7 @@
 
     /// Creates a placeholder for a connection that is closed.
     pub(crate) fn closed(protocol: P) -> Self {
-        Self::new(TargetConnection::closed(protocol), Micros::ZERO)
+        Self::new(TargetConnection::closed(protocol), SharedName::default(), Micros::ZERO)
     }
 
     /// Returns whether exactly these session values are set on the connection.
@@ -179,7 +191,12 @@
         if let Some(name) = self.prepared.get(shape) {
             return Ok(name.clone());
         }
-        let name = format!("p{}", self.prepared.len());
+        // A name that is still in use must not be given to a second statement after a removal.
+        let mut number = self.prepared.len();
+        while self.prepared.values().any(|name| *name == format!("p{number}")) {
+            number += 1;
+        }
+        let name = format!("p{number}");
         let request =
             TargetRequest::Prepare { name: &name, access: shape.access, shape: &shape.shape };
         self.uncertain = true;
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -12,5 +12,6 @@
     lease::TargetLease,
     opening::ConnectRequest,
     slot::SlotOptions,
-    target::{LeaseFailure, LeaseOptions, TargetPool},
+    state::TargetPaths,
+    target::{ConnectionUser, LeaseFailure, LeaseOptions, TargetPool},
 };
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -3,16 +3,13 @@
 use {
     super::{
         connection::PooledConnection,
-        state::TargetPath,
-        target::{LeaseFailure, LeaseOptions, TargetPool, VERIFY_TIMEOUT},
+        state::{TargetPath, max_connections},
+        target::{ConnectionUser, LeaseFailure, LeaseOptions, TargetPool, VERIFY_TIMEOUT},
     },
     crate::gateway::GatewayCore,
     banyansill_core::{
-        failure::FailureKind,
-        gateway::{ConnectionShare, TargetError},
-        names::SharedName,
-        queue::SlotTicket,
-        time::Micros,
+        directory::ProcessHost, failure::FailureKind, gateway::TargetError, names::SharedName,
+        queue::SlotTicket, time::Micros,
     },
     banyansill_target::{
         ConnectError, ConnectionOptions, StartRequest, StatementProtocol, TargetConnection,
@@ -55,8 +52,6 @@
     Unreachable(String),
     /// The target refused the start request.
     Refused(TargetError),
-    /// The other entries provided no connection.
-    Relay(LeaseFailure),
 }
 
 /// Request for a connection, with what another entry needs to queue it.
@@ -64,6 +59,8 @@
 pub(crate) struct ConnectRequest {
     /// Database of the session.
     pub(crate) database: SharedName,
+    /// Team of the session; empty if it has none.
+    pub(crate) team: SharedName,
     /// Priority of the session's route; lower values are served first.
     pub(crate) priority: u32,
     /// Whether the connection is for a transaction.
@@ -72,30 +69,23 @@
     pub(crate) deadline: Micros,
 }
 
-/// Opens a connection to the target `name`, a group and a target in it, over the path that the share defines.
-pub(super) async fn open<P>(
-    core: &Rc<GatewayCore<P>>,
-    name: (&SharedName, &SharedName),
-    address: &SharedName,
-    share: &ConnectionShare,
-    request: &ConnectRequest,
-) -> Result<PooledConnection<P>, OpenFailure>
-where
-    P: StatementProtocol,
-{
-    match share {
-        ConnectionShare::Direct(_) => open_direct(core, name, address).await,
-        ConnectionShare::Relayed(entries) => {
-            let opened = core.relay.open(core, entries, name, request, false).await;
-            opened.map_err(OpenFailure::Relay)
-        }
-    }
+/// Path of a new connection.
+#[derive(Clone, Debug)]
+enum ConnectPath {
+    /// This entry connects to the target.
+    Own,
+    /// These entries lend one of their connections.
+    Relays(Vec<ProcessHost>),
+    /// As `Relays`, because this entry cannot reach the target.
+    Detour(Vec<ProcessHost>),
 }
 
+/// Opens a connection to the target `name`, a group and a target in it, that serves `team`.
 async fn open_direct<P>(
     core: &Rc<GatewayCore<P>>,
     (group, target): (&SharedName, &SharedName),
     address: &SharedName,
+    team: &SharedName,
 ) -> Result<PooledConnection<P>, OpenFailure>
 where
     P: StatementProtocol,
@@ -105,13 +95,13 @@
             "not an IP address with a port: {address:?}"
         )));
     };
-    let start =
-        StartRequest { group: group.clone(), user: core.own.host.clone(), target: target.clone() };
+    let user = if team.is_empty() { core.own.host.clone() } else { team.clone() };
+    let start = StartRequest { group: group.clone(), user, target: target.clone() };
     let options =
         ConnectionOptions { connect_timeout: CONNECT_TIMEOUT, start_timeout: START_TIMEOUT };
     core.count("connections.opened");
     match TargetConnection::open(address, &start, core.protocol.clone(), options).await {
-        Ok(connection) => Ok(PooledConnection::new(connection, core.clock.now())),
+        Ok(connection) => Ok(PooledConnection::new(connection, team.clone(), core.clock.now())),
         Err(error @ ConnectError::Unreachable { .. }) => {
             Err(OpenFailure::Unreachable(error.to_string()))
         }
@@ -129,29 +119,24 @@
         options: &LeaseOptions<'_>,
         ticket: SlotTicket,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
-        let path = {
-            let mut state = self.state.borrow_mut();
-            let path = state.path(self.now(), options.detour);
-            state.reservations.remove(&ticket);
-            state.open += 1;
-            state.detour_connections += u32::from(path == Some(TargetPath::Detour));
-            path
-        };
-        if path == Some(TargetPath::Detour) {
+        let path = self.connect_path(options, ticket)?;
+        if matches!(path, ConnectPath::Detour(_)) {
             self.probe();
         }
         let (sender, opened) = oneshot::channel();
         let pool = Rc::clone(self);
         let request = ConnectRequest {
             database: options.slot.database.clone(),
+            team: options.slot.team.clone(),
             priority: options.slot.priority,
             transaction: options.transaction,
             deadline: options.slot.deadline,
         };
         tokio::task::spawn_local(async move {
             let result = match path {
-                Some(TargetPath::Detour) => pool.open_detour(&request).await,
-                _ => pool.open_connection(&request).await,
+                ConnectPath::Own => pool.open_connection(&request).await,
+                ConnectPath::Relays(entries) => pool.open_relayed(&entries, &request).await,
+                ConnectPath::Detour(entries) => pool.open_detour(&entries, &request).await,
             };
             if let Err(Ok(unwanted)) = sender.send(result) {
                 pool.put_back(unwanted);
@@ -164,18 +149,63 @@
         }
     }
 
-    /// Opens a connection that `PoolState::open` already counts.
+    /// Chooses the path of a new connection and counts the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Overloaded` if all connections that the path allows are in use.
+    fn connect_path(
+        &self,
+        options: &LeaseOptions<'_>,
+        ticket: SlotTicket,
+    ) -> Result<ConnectPath, LeaseFailure> {
+        let mut state = self.state.borrow_mut();
+        state.reservations.remove(&ticket);
+        if state.path(self.now(), options.detour) == Some(TargetPath::Detour) {
+            state.relayed += 1;
+            return Ok(ConnectPath::Detour(state.detour.clone()));
+        }
+        let team = options.slot.team;
+        let relays = match options.user {
+            ConnectionUser::Peer => Vec::new(),
+            _ => self.usual_relays(&mut state, team),
+        };
+        if !relays.is_empty() {
+            state.relayed += 1;
+            return Ok(ConnectPath::Relays(relays));
+        }
+        // The connection of another team makes room; without teams, a slot is granted only if there is room.
+        let full = !state.team_relays.is_empty() && state.open >= max_connections(&state.share);
+        let evicted = if full { state.evict_idle(team) } else { None };
+        if full && evicted.is_none() {
+            let relays = match options.user {
+                ConnectionUser::Session => self.overflow_relays(&mut state, team),
+                ConnectionUser::Peer | ConnectionUser::Entry => Vec::new(),
+            };
+            if relays.is_empty() {
+                return Err(LeaseFailure::new(FailureKind::Overloaded));
+            }
+            state.relayed += 1;
+            return Ok(ConnectPath::Relays(relays));
+        }
+        state.open += 1;
+        drop(state);
+        if let Some(evicted) = evicted {
+            self.core.count("connections.ended.evicted");
+            tokio::task::spawn_local(evicted.end());
+        }
+        Ok(ConnectPath::Own)
+    }
+
+    /// Opens an own connection that `PoolState::open` already counts.
     async fn open_connection(
         self: &Rc<Self>,
         request: &ConnectRequest,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
         let begun = self.now();
-        let (address, share) = {
-            let state = self.state.borrow();
-            (state.address.clone(), state.share.clone())
-        };
+        let address = self.state.borrow().address.clone();
         let name = (&self.group, &self.target);
-        let mut opening = pin!(open(&self.core, name, &address, &share, request));
+        let mut opening = pin!(open_direct(&self.core, name, &address, &request.team));
         let opened = match timeout(SILENCE_TIMEOUT.as_duration(), &mut opening).await {
             Ok(opened) => opened,
             Err(_) => {
@@ -206,10 +236,29 @@
                 });
                 Err(LeaseFailure::new(error.failure()))
             }
-            Err(OpenFailure::Relay(failure)) => Err(failure),
         }
     }
 
+    /// Borrows a connection of another entry that `PoolState::relayed` already counts.
+    async fn open_relayed(
+        &self,
+        entries: &[ProcessHost],
+        request: &ConnectRequest,
+    ) -> Result<PooledConnection<P>, LeaseFailure> {
+        let name = (&self.group, &self.target);
+        let opened = self.core.relay.open(&self.core, entries, name, request, false).await;
+        match opened {
+            Ok(_) if !self.is_direct() => {
+                let now = self.now();
+                let change = self.state.borrow_mut().record_contact(now);
+                self.report(change, now);
+            }
+            Ok(_) => {}
+            Err(_) => self.state.borrow_mut().record_returned(),
+        }
+        opened
+    }
+
     /// Records a failure if the target has sent nothing since `begun`, while its answer is still awaited.
     fn record_failure_if_silent(&self, begun: Micros) {
         if self.is_direct() && self.state.borrow().last_contact < begun {
@@ -217,19 +266,19 @@
         }
     }
 
-    /// Borrows a connection of another entry that `PoolState::open` already counts.
+    /// Borrows a connection of another entry, because this one cannot reach the target; `PoolState::relayed` already
+    /// counts it.
     async fn open_detour(
         &self,
+        entries: &[ProcessHost],
         request: &ConnectRequest,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
-        let entries = self.state.borrow().detour.clone();
         let name = (&self.group, &self.target);
-        let opened = self.core.relay.open(&self.core, &entries, name, request, true).await;
+        let opened = self.core.relay.open(&self.core, entries, name, request, true).await;
         self.core.count("connections.detour");
         if opened.is_err() {
             let mut state = self.state.borrow_mut();
-            state.record_closed(1);
-            state.detour_connections = state.detour_connections.saturating_sub(1);
+            state.record_returned();
             state.detour_backoff_until = self.now() + DETOUR_BACKOFF;
         }
         opened
@@ -239,7 +288,11 @@
     ///
     /// When all entries connect to a target at once, each new connection occupies a slot for 12 ms.
     pub(crate) fn warm_up(self: &Rc<Self>) {
-        if self.state.borrow().open == 0 {
+        let state = self.state.borrow();
+        // A connection that serves one team cannot be opened before the team is known.
+        let wanted = state.open == 0 && state.team_relays.is_empty();
+        drop(state);
+        if wanted {
             self.probe();
         }
     }
@@ -272,6 +325,7 @@
         tokio::task::spawn_local(async move {
             let request = ConnectRequest {
                 database: pool.group.clone(),
+                team: SharedName::default(),
                 priority: 0,
                 transaction: false,
                 deadline: now,
--- a/crates/gateway/src/pool/slot.rs
+++ b/crates/gateway/src/pool/slot.rs
@@ -15,6 +15,8 @@
     pub(crate) request: &'a Bytes,
     /// Database of the session.
     pub(crate) database: &'a SharedName,
+    /// Team of the session; empty if it has none.
+    pub(crate) team: &'a SharedName,
     /// Priority of the session's route; lower values are served first.
     pub(crate) priority: u32,
     /// Time after which an answer is useless.
--- a/crates/gateway/src/pool/state.rs
+++ b/crates/gateway/src/pool/state.rs
@@ -5,12 +5,13 @@
     banyansill_core::{
         collections::{FastMap, FastSet},
         directory::ProcessHost,
-        gateway::{AdaptiveLimit, ConnectionShare, HealthChange, TargetHealth},
+        gateway::{AdaptiveLimit, ConnectionShare, HealthChange, TargetHealth, team_holders},
         names::SharedName,
         position::LogPosition,
         queue::{SlotQueue, SlotTicket},
         time::Micros,
     },
+    std::rc::Rc,
     tokio::sync::oneshot,
 };
 
@@ -30,13 +31,19 @@
     pub(super) reservations: FastSet<SlotTicket>,
     /// Connections not in use, the most recently used one last.
     pub(super) idle: Vec<PooledConnection<P>>,
-    /// Number of connections that are idle, leased or being opened.
+    /// Number of own connections that are idle, leased or being opened.
     pub(super) open: u32,
+    /// Number of connections of other entries that are in use or being opened.
+    pub(super) relayed: u32,
     pub(super) limit: AdaptiveLimit,
     pub(super) health: TargetHealth,
     /// Last known position of the target's log, and the time at which it was received.
     pub(super) position: Option<(LogPosition, Micros)>,
     pub(super) share: ConnectionShare,
+    /// Entries that connect to the target directly, if its connections serve one team each.
+    pub(super) team_relays: Vec<ProcessHost>,
+    /// Holders of the teams' connections, by team.
+    pub(super) holders: FastMap<SharedName, Rc<[ProcessHost]>>,
     pub(super) address: SharedName,
     /// Time from which the target accepts no new work; `None` while it stays in service.
     pub(super) closes_at: Option<Micros>,
@@ -52,8 +59,17 @@
     pub(super) detour: Vec<ProcessHost>,
     /// End of the back-off after none of these entries could reach the target either.
     pub(super) detour_backoff_until: Micros,
-    /// Number of connections of these entries that are in use.
-    pub(super) detour_connections: u32,
+}
+
+/// Paths to a target, as they follow from the directory.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetPaths {
+    /// This entry's share of the target's connections.
+    pub(crate) share: ConnectionShare,
+    /// Entries that connect to the target directly, if its connections serve one team each.
+    pub(crate) team_relays: Vec<ProcessHost>,
+    /// Entries whose connections are used while this entry cannot reach the target.
+    pub(crate) detour: Vec<ProcessHost>,
 }
 
 /// Path over which a connection reaches the target.
@@ -93,16 +109,54 @@
     /// When entries restart after a power loss, the target still counts their old connections and refuses new
     /// ones. Entries that got no connection then use those of other entries.
     pub(super) fn has_available_connection(&self, now: Micros) -> bool {
-        let spare = if !self.is_refused(now) {
-            max_connections(&self.share).saturating_sub(self.open)
+        let relayed_spare = MAX_RELAYED_CONNECTIONS.saturating_sub(self.relayed);
+        let own_spare = match &self.share {
+            ConnectionShare::Direct(connections) => connections.saturating_sub(self.open),
+            ConnectionShare::Relayed(_) => relayed_spare,
+        };
+        let mut spare = if !self.is_refused(now) {
+            own_spare
         } else if self.is_detour_available(now) {
-            MAX_RELAYED_CONNECTIONS.saturating_sub(self.detour_connections)
+            relayed_spare
         } else {
             0
         };
+        if !self.team_relays.is_empty() && matches!(self.share, ConnectionShare::Direct(_)) {
+            // The work of most teams runs on connections of other entries.
+            spare = spare.saturating_add(relayed_spare);
+        }
         self.idle.len() + spare as usize > self.reservations.len()
     }
 
+    /// Returns the entries that hold a team's connections, in order of preference.
+    pub(super) fn holders(&mut self, team: &SharedName) -> Rc<[ProcessHost]> {
+        if let Some(holders) = self.holders.get(team) {
+            return Rc::clone(holders);
+        }
+        let holders: Rc<[ProcessHost]> = team_holders(team, &self.team_relays).into();
+        self.holders.insert(team.clone(), Rc::clone(&holders));
+        holders
+    }
+
+    /// Removes the connection that was idle longest among those of other teams.
+    pub(super) fn evict_idle(&mut self, team: &SharedName) -> Option<PooledConnection<P>> {
+        let mut oldest: Option<(usize, Micros)> = None;
+        for (index, pooled) in self.idle.iter().enumerate() {
+            if pooled.team == *team || oldest.is_some_and(|(_, used)| used <= pooled.last_used) {
+                continue;
+            }
+            oldest = Some((index, pooled.last_used));
+        }
+        let (index, _) = oldest?;
+        self.open = self.open.saturating_sub(1);
+        Some(self.idle.remove(index))
+    }
+
+    /// Subtracts a connection of another entry that is no longer in use.
+    pub(super) const fn record_returned(&mut self) {
+        self.relayed = self.relayed.saturating_sub(1);
+    }
+
     /// Records a contact with the target over a connection of this entry.
     pub(super) const fn record_contact(&mut self, now: Micros) -> HealthChange {
         self.last_contact = now;
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -6,7 +6,7 @@
         lease::TargetLease,
         opening::DETOUR_BACKOFF,
         slot::{SlotGuard, SlotKind, SlotOptions},
-        state::{PoolState, TargetPath, max_connections},
+        state::{PoolState, TargetPath, TargetPaths, max_connections},
     },
     crate::{
         attempt::{AttemptResult, FailedAttempt, attempt_result},
@@ -45,6 +45,10 @@
 /// for 3 s, and the connections of all entries together must leave room for the same entries to reconnect.
 const SPARE_IDLE_TIMEOUT: Micros = Micros::from_millis(1_500);
 
+/// Idle time after which a connection of a team is closed. Each serves only its team, and the entry's share of the
+/// connections bounds their number.
+const TEAM_IDLE_TIMEOUT: Micros = Micros::from_secs(10);
+
 /// Time for which a draining primary is used while another one is promoted; a promotion takes about 1 s, and a
 /// draining target must get no new work after 7 s.
 const DRAINING_PRIMARY_GRACE: Micros = Micros::from_secs(4);
@@ -65,6 +69,18 @@
     pub(crate) transaction: bool,
     /// Whether a connection of another entry may be used if this one cannot reach the target.
     pub(crate) detour: bool,
+    pub(crate) user: ConnectionUser,
+}
+
+/// Who uses a leased connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionUser {
+    /// A session of this entry.
+    Session,
+    /// A session of another entry, which sends the work of a team to the holder of its connections.
+    Peer,
+    /// This entry itself; its statements run on the connection of any team.
+    Entry,
 }
 
 /// Reason why no connection or slot was leased; no statement was sent.
@@ -103,21 +119,24 @@
     pub(crate) fn new(
         core: Rc<GatewayCore<P>>,
         report: &TargetReport,
-        share: ConnectionShare,
-        detour: Vec<ProcessHost>,
+        paths: TargetPaths,
         is_primary: bool,
     ) -> Rc<Self> {
-        let connections = max_connections(&share);
+        let share = &paths.share;
+        let connections = max_connections(share);
         let state = PoolState {
             queue: SlotQueue::new(QueueSettings::new(connections)),
             granted: FastMap::default(),
             reservations: FastSet::default(),
             idle: Vec::new(),
             open: 0,
+            relayed: 0,
             limit: AdaptiveLimit::new(connections),
             health: TargetHealth::default(),
             position: None,
             share: share.clone(),
+            team_relays: Vec::new(),
+            holders: FastMap::default(),
             address: report.address.clone(),
             closes_at: None,
             refused_until: Micros::ZERO,
@@ -126,11 +145,10 @@
             last_contact: core.clock.now(),
             detour: Vec::new(),
             detour_backoff_until: Micros::ZERO,
-            detour_connections: 0,
         };
         let (group, target) = (report.group.clone(), report.target.clone());
         let pool = Rc::new(Self { core, group, target, state: RefCell::new(state) });
-        pool.update(report, share, detour, is_primary);
+        pool.update(report, paths, is_primary);
         pool
     }
 
@@ -145,13 +163,8 @@
     /// Applies the target's record in the directory.
     ///
     /// A draining primary stays in use for a limited time, until another one is promoted.
-    pub(crate) fn update(
-        &self,
-        report: &TargetReport,
-        share: ConnectionShare,
-        detour: Vec<ProcessHost>,
-        is_primary: bool,
-    ) {
+    pub(crate) fn update(&self, report: &TargetReport, paths: TargetPaths, is_primary: bool) {
+        let TargetPaths { share, team_relays, detour } = paths;
         let now = self.now();
         let mut dropped = Vec::new();
         let mut state = self.state.borrow_mut();
@@ -160,6 +173,10 @@
             dropped.append(&mut state.idle);
         }
         state.detour = detour;
+        if state.team_relays != team_relays {
+            state.team_relays = team_relays;
+            state.holders.clear();
+        }
         if is_primary && !std::mem::replace(&mut state.is_primary, is_primary) {
             state.last_contact = now;
         }
@@ -202,10 +219,12 @@
         let mut dropped = Vec::new();
         let mut state = self.state.borrow_mut();
         let mut idle = std::mem::take(&mut state.idle);
+        let spare_timeout =
+            if state.team_relays.is_empty() { SPARE_IDLE_TIMEOUT } else { TEAM_IDLE_TIMEOUT };
         // The most recently used connection is at the end.
         let last = idle.pop();
         for pooled in idle {
-            if now.since(pooled.last_used) < SPARE_IDLE_TIMEOUT {
+            if now.since(pooled.last_used) < spare_timeout {
                 state.idle.push(pooled);
             } else {
                 dropped.push(pooled);
@@ -251,19 +270,58 @@
         !state.is_closing(now) && state.path(now, detour).is_some()
     }
 
-    /// Returns the entries through which a read reaches the target, or `None` if this entry connects directly or
-    /// no path is available.
-    pub(crate) fn lenders(&self, detour: bool) -> Option<RelayList> {
-        let state = self.state.borrow();
-        match (state.path(self.now(), detour)?, &state.share) {
-            (TargetPath::Detour, _) => {
-                Some(RelayList { entries: state.detour.clone(), detour: true })
+    /// Returns the entries through which a team's read reaches the target, or `None` if this entry uses its own
+    /// connections or no path is available.
+    pub(crate) fn lenders(&self, team: &SharedName, detour: bool) -> Option<RelayList> {
+        let mut state = self.state.borrow_mut();
+        match state.path(self.now(), detour)? {
+            TargetPath::Detour => Some(RelayList { entries: state.detour.clone(), detour: true }),
+            TargetPath::Usual => {
+                let entries = self.usual_relays(&mut state, team);
+                (!entries.is_empty()).then_some(RelayList { entries, detour: false })
             }
-            (TargetPath::Usual, ConnectionShare::Relayed(entries)) => {
-                Some(RelayList { entries: entries.clone(), detour: false })
+        }
+    }
+
+    /// Returns the entries whose connections a team's work uses while no path has failed; none if it uses those of
+    /// this entry.
+    pub(super) fn usual_relays(
+        &self,
+        state: &mut PoolState<P>,
+        team: &SharedName,
+    ) -> Vec<ProcessHost> {
+        let by_team = !team.is_empty() && !state.team_relays.is_empty();
+        match &state.share {
+            ConnectionShare::Relayed(_) if by_team => state.holders(team).to_vec(),
+            ConnectionShare::Relayed(entries) => entries.clone(),
+            ConnectionShare::Direct(_) if by_team => {
+                let now = self.now();
+                let mut preferred = Vec::new();
+                for holder in state.holders(team).iter() {
+                    if holder.host == self.core.own.host {
+                        break;
+                    }
+                    if !self.core.relay.is_failing(&holder.host, now) {
+                        preferred.push(holder.clone());
+                    }
+                }
+                preferred
             }
-            (TargetPath::Usual, ConnectionShare::Direct(_)) => None,
+            ConnectionShare::Direct(_) => Vec::new(),
+        }
+    }
+
+    /// Returns the entries that take a team's work if all connections of this entry are in use.
+    pub(super) fn overflow_relays(
+        &self,
+        state: &mut PoolState<P>,
+        team: &SharedName,
+    ) -> Vec<ProcessHost> {
+        if team.is_empty() || state.team_relays.is_empty() {
+            return Vec::new();
         }
+        let holders = state.holders(team);
+        holders.iter().filter(|holder| holder.host != self.core.own.host).cloned().collect()
     }
 
     /// Runs a read on a connection of one of the entries in `lenders`.
@@ -324,7 +382,7 @@
     ) -> Result<TargetLease<P>, LeaseFailure> {
         let slot =
             self.wait_for_slot(&options.slot, SlotKind::Fresh { detour: options.detour }).await?;
-        if let Some(mut pooled) = self.take_idle(slot.ticket, options.values) {
+        if let Some(mut pooled) = self.take_idle(slot.ticket, options) {
             let idle = self.now().since(pooled.last_used);
             if idle < options.trusted_idle || self.is_alive(&mut pooled, options).await {
                 return Ok(TargetLease::new(pooled, slot));
@@ -357,8 +415,9 @@
                     }));
                 }
             }
+            let application = if options.team.is_empty() { options.database } else { options.team };
             let request = SlotRequest {
-                application: options.database.clone(),
+                application: application.clone(),
                 kind: options.database.clone(),
                 priority: options.priority,
                 deadline: options.deadline,
@@ -397,6 +456,7 @@
         group:display = self.group,
         server:display = self.target,
         database:display = options.database,
+        team:display = options.team,
         priority = options.priority,
         outcome = failure.kind.name(),
         running = state.queue.running(),
@@ -446,13 +506,29 @@
         self.grant_slots();
     }
 
-    fn take_idle(&self, ticket: SlotTicket, values: &SessionValues) -> Option<PooledConnection<P>> {
+    fn take_idle(
+        &self,
+        ticket: SlotTicket,
+        options: &LeaseOptions<'_>,
+    ) -> Option<PooledConnection<P>> {
         let mut broken = Vec::new();
         let mut state = self.state.borrow_mut();
         let now = self.now();
+        let team = options.slot.team;
+        let serves = |pooled: &PooledConnection<P>| {
+            options.user == ConnectionUser::Entry || pooled.team == *team
+        };
+        if options.user == ConnectionUser::Session
+            && !self.usual_relays(&mut state, team).is_empty()
+        {
+            return None;
+        }
         let found = loop {
-            let matching = state.idle.iter().rposition(|pooled| pooled.has_values(values));
-            let index = matching.or_else(|| state.idle.len().checked_sub(1));
+            let matching = state
+                .idle
+                .iter()
+                .rposition(|pooled| serves(pooled) && pooled.has_values(options.values));
+            let index = matching.or_else(|| state.idle.iter().rposition(serves));
             let Some(index) = index else { break None };
             let pooled = state.idle.remove(index);
             if now.since(pooled.last_used) < IDLE_CHECK_AFTER || pooled.connection.is_usable() {
@@ -482,9 +558,10 @@
         if kept && !pooled.is_relayed() && pooled.is_reusable() {
             state.idle.push(pooled);
         } else {
-            state.record_closed(1);
             if pooled.is_relayed() {
-                state.detour_connections = state.detour_connections.saturating_sub(1);
+                state.record_returned();
+            } else {
+                state.record_closed(1);
             }
             if kept {
                 self.core.count(pooled.end_metric());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -6,6 +6,7 @@
         relay::RelayService,
         session::{CallerListener, CallerSources, StopStage},
         settings::GatewaySettings,
+        team_access::TeamAccess,
     },
     banyansill_core::{
         directory::ProcessHost, event::EventNumber, gateway::RoutingTable, names::SharedName,
@@ -130,6 +131,7 @@
         stage: stage_receiver,
         reachability_changes,
         inbox,
+        teams: TeamAccess,
         metrics: board.client(METRIC_PREFIX),
     };
     let callers = CallerListener::bind(sources).await.map_err(listen_error(settings.callers))?;
--- a/crates/gateway/src/read.rs
+++ b/crates/gateway/src/read.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         attempt::{AttemptResult, FailedAttempt, StatementBody, attempt_result, run_body},
-        pool::{LeaseOptions, SessionValues, SlotOptions, TargetLease, TargetPool},
+        pool::{ConnectionUser, LeaseOptions, SessionValues, SlotOptions, TargetLease, TargetPool},
     },
     banyansill_core::{
         failure::FailureKind, gateway::AttemptEnd, names::SharedName, position::LogPosition,
@@ -35,6 +35,8 @@
     pub(crate) proof: FreshnessProof,
     /// Database of the session.
     pub(crate) database: SharedName,
+    /// Team of the session; empty if it has none.
+    pub(crate) team: SharedName,
     /// Priority of the route.
     pub(crate) priority: u32,
     /// Time until which the read waits for a connection and a slot.
@@ -43,12 +45,13 @@
     pub(crate) deadline: Micros,
     /// Whether another entry may relay the read if this one cannot reach the target.
     pub(crate) detour: bool,
+    pub(crate) user: ConnectionUser,
 }
 
 impl ReadCall {
     pub(crate) const fn slot(&self) -> SlotOptions<'_> {
-        let Self { id, database, priority, queue_deadline, .. } = self;
-        SlotOptions { request: id, database, priority: *priority, deadline: *queue_deadline }
+        let Self { id, database, team, priority, queue_deadline, .. } = self;
+        SlotOptions { request: id, database, team, priority: *priority, deadline: *queue_deadline }
     }
 }
 
@@ -57,7 +60,7 @@
 where
     P: StatementProtocol,
 {
-    match pool.lenders(call.detour) {
+    match pool.lenders(&call.team, call.detour) {
         Some(relays) => pool.read_relayed(&relays, call).await,
         None => read_directly(pool, call).await,
     }
@@ -74,6 +77,7 @@
         trusted_idle: Micros(u64::MAX),
         transaction: false,
         detour: call.detour,
+        user: call.user,
     };
     let mut lease = pool.lease(&lease_request).await.map_err(FailedAttempt::no_connection)?;
     let left = call.deadline.since(pool.now()).as_duration();
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -191,7 +191,7 @@
             priority: plan.priority,
             transaction: plan.transaction,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-            team: String::new(),
+            team: plan.team.to_string(),
         };
         let open = v1::LeaseInput { input: Some(Input::Open(open)) };
         let _ = input.send(open).await;
--- a/crates/gateway/src/relay/reads.rs
+++ b/crates/gateway/src/relay/reads.rs
@@ -5,7 +5,7 @@
     crate::{
         attempt::{FailedAttempt, StatementBody},
         gateway::{Gateway, GatewayCore},
-        pool::{LeaseFailure, PreparedShape},
+        pool::{ConnectionUser, LeaseFailure, PreparedShape},
         read::{FreshnessProof, ReadCall, read_directly},
     },
     banyansill_core::{
@@ -193,7 +193,7 @@
         body: Some(body),
         floor,
         values: state::values_to_wire(&call.values),
-        team: String::new(),
+        team: call.team.to_string(),
     }
 }
 
@@ -215,10 +215,12 @@
         values: state::values_from_wire(request.values),
         proof,
         database: request.database.into(),
+        team: request.team.into(),
         priority: request.priority,
         queue_deadline: now + Micros::from_millis(request.wait_ms.into()),
         deadline: now + Micros::from_millis(request.left_ms.into()),
         detour: false,
+        user: ConnectionUser::Peer,
     })
 }
 
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -7,7 +7,10 @@
     },
     crate::{
         gateway::Gateway,
-        pool::{LeaseFailure, LeaseOptions, SessionValues, SlotOptions, TargetLease, TargetPool},
+        pool::{
+            ConnectionUser, LeaseFailure, LeaseOptions, SessionValues, SlotOptions, TargetLease,
+            TargetPool,
+        },
     },
     banyansill_core::{failure::FailureKind, names::SharedName, time::Micros},
     banyansill_target::StatementProtocol,
@@ -225,6 +228,7 @@
     let slot = SlotOptions {
         request: &Bytes::new(),
         database: &database,
+        team: &open.team.as_str().into(),
         priority: open.priority,
         deadline: gateway.now() + Micros::from_millis(open.wait_ms.into()),
     };
@@ -234,6 +238,7 @@
         trusted_idle: Micros::from_secs(1),
         transaction: open.transaction,
         detour: false,
+        user: ConnectionUser::Peer,
     };
     let mut lease = pool.lease(&lease_request).await?;
     if open.transaction {
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -10,11 +10,17 @@
     crate::{
         attempt::{StatementBody, StatementFailure},
         gateway::Gateway,
-        pool::{LeaseOptions, PreparedShape, SessionValues, SlotOptions},
+        pool::{ConnectionUser, LeaseOptions, PreparedShape, SessionValues, SlotOptions},
     },
     banyansill_core::{
-        collections::FastMap, directory::RouteRule, event::EventNumber, failure::FailureKind,
-        names::SharedName, position::LogPosition, time::Micros, transaction::TransactionStatus,
+        collections::FastMap,
+        directory::{KeyDigest, RouteRule},
+        event::EventNumber,
+        failure::FailureKind,
+        names::SharedName,
+        position::LogPosition,
+        time::Micros,
+        transaction::TransactionStatus,
     },
     banyansill_target::{
         CallerMessage, CallerReply, FramingError, Statement, StatementAccess, StatementProtocol,
@@ -93,6 +99,10 @@
     stage: watch::Receiver<StopStage>,
     pub(super) number: u64,
     pub(super) database: SharedName,
+    /// Digest of the caller's key.
+    pub(super) key: KeyDigest,
+    /// Team of the caller, as of the last operation; empty if it has none.
+    pub(super) team: SharedName,
     /// Identifier that the caller gave to the current request.
     pub(super) request: Bytes,
     pub(super) values: SessionValues,
@@ -149,6 +159,8 @@
         stage: shared.stage.clone(),
         number,
         database: SharedName::default(),
+        key: KeyDigest::of(&[]),
+        team: SharedName::default(),
         request: Bytes::new(),
         values: SessionValues::new(),
         prepared: FastMap::default(),
@@ -171,7 +183,10 @@
     async fn start(&mut self) -> Result<(), SessionEnd> {
         let first = timeout(START_TIMEOUT, self.receive()).await;
         match first.map_err(|_| SessionEnd::Closed)?? {
-            CallerMessage::Start { database, .. } => self.database = database,
+            CallerMessage::Start { database, credential } => {
+                self.database = database;
+                self.key = KeyDigest::of(&credential);
+            }
             CallerMessage::End => return Err(SessionEnd::Closed),
             CallerMessage::Statement { .. } | CallerMessage::Malformed => {
                 self.refuse_session(FailureKind::ProtocolViolation);
@@ -179,16 +194,23 @@
             }
         }
         let table = self.gateway.routes_within(ROUTES_TIMEOUT).await;
-        if table.routes.contains_key(&self.database) {
-            self.gateway.core.count("sessions.opened");
-            self.encode_ready(None);
-            return self.send();
-        }
-        // Without routes this entry cannot tell whether the database exists.
-        let kind = if table.book_version == 0 {
-            FailureKind::NoSheet
-        } else {
-            FailureKind::UnknownDatabase
+        let kind = match table.routes.get(&self.database) {
+            Some(route) => {
+                if !route.public {
+                    self.wait_for_keys().await;
+                }
+                match self.identify(route) {
+                    Ok(()) => {
+                        self.gateway.core.count("sessions.opened");
+                        self.encode_ready(None);
+                        return self.send();
+                    }
+                    Err(kind) => kind,
+                }
+            }
+            // Without routes this entry cannot tell whether the database exists.
+            None if table.book_version == 0 => FailureKind::NoSheet,
+            None => FailureKind::UnknownDatabase,
         };
         self.refuse_session(kind);
         Err(SessionEnd::Refused)
@@ -318,6 +340,9 @@
             let result = Err(StatementFailure::new(FailureKind::UnknownDatabase));
             return self.deliver(&id, start, &trace, result);
         };
+        if let Err(failure) = self.authorize(&route) {
+            return self.deliver(&id, start, &trace, Err(failure));
+        }
         let deadline = statement_deadline(&route, start);
         let request = StatementRequest { id, access, body, route, deadline };
         self.gateway.record_attempt();
@@ -344,8 +369,8 @@
         route: &RouteRule,
         deadline: Micros,
     ) -> SlotOptions<'_> {
-        let Self { request, database, .. } = self;
-        SlotOptions { request, database, priority: route.priority, deadline }
+        let Self { request, database, team, .. } = self;
+        SlotOptions { request, database, team, priority: route.priority, deadline }
     }
 
     /// Returns the connection request for a statement or transaction of the session.
@@ -357,7 +382,8 @@
         (transaction, detour): (bool, bool),
     ) -> LeaseOptions<'_> {
         let slot = self.slot_request(route, deadline);
-        LeaseOptions { slot, values: &self.values, trusted_idle, transaction, detour }
+        let user = ConnectionUser::Session;
+        LeaseOptions { slot, values: &self.values, trusted_idle, transaction, detour, user }
     }
 
     /// Returns the route of the open transaction, or else the current route of the database.
@@ -392,6 +418,7 @@
         request:display = String::from_utf8_lossy(id),
         session = self.number,
         database:display = self.database,
+        team:display = self.team,
         outcome,
         server:display = trace.target.as_deref().unwrap_or("-"),
         floor:display = position_text(trace.floor),
--- a/crates/gateway/src/session/listener.rs
+++ b/crates/gateway/src/session/listener.rs
@@ -7,6 +7,7 @@
         marks,
         relay::{RelayClients, RelayInbox},
         settings::{GatewaySettings, ZoneMap},
+        team_access::TeamAccess,
     },
     banyansill_core::{collections::FastMap, directory::ProcessHost, gateway::RoutingTable},
     banyansill_runtime::{clock::MonotonicClock, server::ServerHandle},
@@ -49,6 +50,7 @@
     pub(crate) stage: watch::Receiver<StopStage>,
     pub(crate) reachability_changes: mpsc::UnboundedSender<ReachabilityChange>,
     pub(crate) inbox: RelayInbox,
+    pub(crate) teams: TeamAccess,
     pub(crate) metrics: StatsdClient,
 }
 
@@ -126,6 +128,7 @@
         protocol: sources.protocol,
         clock: sources.clock,
         relay: RelayClients::default(),
+        teams: sources.teams,
         reachability_changes: sources.reachability_changes,
         metrics: sources.metrics,
         freshness: RefCell::new(FastMap::default()),
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -1,5 +1,6 @@
 //! Connections, sessions and statements of callers.
 
+mod access;
 mod caller;
 mod codec;
 mod listener;
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -8,7 +8,7 @@
     crate::{
         attempt::{AttemptResult, FailedAttempt, StatementFailure, attempt_result, run_body},
         gateway::Gateway,
-        pool::TargetPool,
+        pool::{ConnectionUser, TargetPool},
         read::{FreshnessProof, ReadCall, read_on},
     },
     banyansill_core::{
@@ -313,10 +313,12 @@
             values: self.values.clone(),
             proof,
             database: self.database.clone(),
+            team: self.team.clone(),
             priority: request.route.priority,
             queue_deadline: request.deadline,
             deadline: request.deadline,
             detour: proof == FreshnessProof::Primary,
+            user: ConnectionUser::Session,
         }
     }
 
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -69,6 +69,13 @@
         self.transaction =
             TransactionState::PendingFailure(StatementFailure::new(FailureKind::NoPrimary));
         self.complete_locally()?;
+        if let Err(failure) =
+            self.identify(&route).map_err(StatementFailure::new).and_then(|()| self.admit())
+        {
+            self.log_end("not begun", failure.kind.name());
+            self.transaction = TransactionState::PendingFailure(failure);
+            return Ok(());
+        }
         let start = self.gateway.now();
         let deadline = statement_deadline(&route, start);
         let replica = read_only && route.reads != ReadRule::Latest;
@@ -247,6 +254,13 @@
     pub(super) async fn commit(&mut self, id: Bytes) -> Result<(), SessionEnd> {
         let start = self.gateway.now();
         let mut trace = StatementTrace::default();
+        if let Some(route) =
+            self.route().filter(|_| matches!(self.transaction, TransactionState::Open(_)))
+            && let Err(failure) = self.authorize(&route)
+        {
+            self.transaction = TransactionState::None;
+            return self.deliver(&id, start, &trace, Err(failure));
+        }
         let state = std::mem::replace(&mut self.transaction, TransactionState::None);
         let result = match state {
             TransactionState::None => return self.fail_locally(FailureKind::ProtocolViolation),
@@ -347,6 +361,18 @@
         }
     }
 
+    /// Rolls back an open transaction whose next statement may not run.
+    pub(super) fn abandon_transaction(&mut self, kind: FailureKind) {
+        if !matches!(self.transaction, TransactionState::Open(_)) {
+            return;
+        }
+        let state = std::mem::replace(&mut self.transaction, TransactionState::Failed);
+        if let TransactionState::Open(open) = state {
+            open.lease.clean_up();
+            self.log_end("not authorized", kind.name());
+        }
+    }
+
     /// Ends a transaction whose caller was idle for too long.
     pub(super) fn end_idle_transaction(&mut self) {
         let failure = StatementFailure::new(FailureKind::TransactionLost);
