refactor(gateway): split the pool, wait for a connection when all are in use

Change: such a request waits until a connection is returned or its wait ends; idle connections and paths to a target are modules of their own.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -1,8 +1,10 @@
 //! Connections to targets: one pool per target, from which sessions lease connections.
 
 mod connection;
+mod idle;
 mod lease;
 mod opening;
+mod paths;
 mod slot;
 mod state;
 mod target;
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -71,7 +71,7 @@
 
 /// Path of a new connection.
 #[derive(Clone, Debug)]
-enum ConnectPath {
+pub(super) enum ConnectPath {
     /// This entry connects to the target.
     Own,
     /// These entries lend one of their connections.
@@ -113,13 +113,12 @@
 where
     P: StatementProtocol,
 {
-    /// Opens a connection, which goes to the pool if the session stops waiting for it.
+    /// Opens a connection over the path, which goes to the pool if the session stops waiting for it.
     pub(super) async fn connect(
         self: &Rc<Self>,
         options: &LeaseOptions<'_>,
-        ticket: SlotTicket,
+        path: ConnectPath,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
-        let path = self.connect_path(options, ticket)?;
         if matches!(path, ConnectPath::Detour(_)) {
             self.probe();
         }
@@ -149,21 +148,17 @@
         }
     }
 
-    /// Chooses the path of a new connection and counts the connection.
-    ///
-    /// # Errors
-    ///
-    /// Returns `Overloaded` if all connections that the path allows are in use.
-    fn connect_path(
+    /// Chooses the path of a new connection and counts the connection; `None` if all connections are in use.
+    pub(super) fn connect_path(
         &self,
         options: &LeaseOptions<'_>,
         ticket: SlotTicket,
-    ) -> Result<ConnectPath, LeaseFailure> {
+    ) -> Option<ConnectPath> {
         let mut state = self.state.borrow_mut();
         state.reservations.remove(&ticket);
         if state.path(self.now(), options.detour) == Some(TargetPath::Detour) {
             state.relayed += 1;
-            return Ok(ConnectPath::Detour(state.detour.clone()));
+            return Some(ConnectPath::Detour(state.detour.clone()));
         }
         let team = options.slot.team;
         let relays = match options.user {
@@ -172,7 +167,7 @@
         };
         if !relays.is_empty() {
             state.relayed += 1;
-            return Ok(ConnectPath::Relays(relays));
+            return Some(ConnectPath::Relays(relays));
         }
         // The connection of another team makes room; without teams, a slot is granted only if there is room.
         let full = !state.team_relays.is_empty() && state.open >= max_connections(&state.share);
@@ -183,10 +178,10 @@
                 ConnectionUser::Peer | ConnectionUser::Entry => Vec::new(),
             };
             if relays.is_empty() {
-                return Err(LeaseFailure::new(FailureKind::Overloaded));
+                return None;
             }
             state.relayed += 1;
-            return Ok(ConnectPath::Relays(relays));
+            return Some(ConnectPath::Relays(relays));
         }
         state.open += 1;
         drop(state);
@@ -194,7 +189,7 @@
             self.core.count("connections.ended.evicted");
             tokio::task::spawn_local(evicted.end());
         }
-        Ok(ConnectPath::Own)
+        Some(ConnectPath::Own)
     }
 
     /// Opens an own connection that `PoolState::open` already counts.
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -4,24 +4,16 @@
     super::{
         connection::{PooledConnection, SessionValues},
         lease::TargetLease,
-        opening::DETOUR_BACKOFF,
         slot::{SlotGuard, SlotKind, SlotOptions},
-        state::{PoolState, TargetPath, TargetPaths, max_connections},
-    },
-    crate::{
-        attempt::{AttemptResult, FailedAttempt, attempt_result},
-        gateway::GatewayCore,
-        read::{FreshnessProof, ReadCall},
-        relay::RelayList,
+        state::{PoolState, TargetPaths, max_connections},
     },
+    crate::gateway::GatewayCore,
     banyansill_core::{
         collections::{FastMap, FastSet},
-        directory::{ProcessHost, TargetReport, TargetState},
+        directory::{TargetReport, TargetState},
         event::EventNumber,
         failure::FailureKind,
-        gateway::{
-            AdaptiveLimit, AttemptEnd, ConnectionShare, HealthChange, TargetError, TargetHealth,
-        },
+        gateway::{AdaptiveLimit, HealthChange, TargetError, TargetHealth},
         names::SharedName,
         position::LogPosition,
         queue::{QueueRefusal, QueueSettings, SlotQueue, SlotRequest, SlotTicket},
@@ -29,26 +21,15 @@
     },
     banyansill_target::{StatementAnswer, StatementProtocol},
     std::{cell::RefCell, rc::Rc},
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::{Notify, oneshot},
+        time::timeout,
+    },
 };
 
 /// Time for which a reported position counts as recent; replicas apply changes within milliseconds.
 const POSITION_TTL: Micros = Micros::from_millis(100);
 
-/// Idle time after which a connection is checked for a close by the target before it is used.
-const IDLE_CHECK_AFTER: Micros = Micros::from_millis(20);
-
-/// Idle time after which the last idle connection is closed; targets close idle connections after a minute.
-const LAST_IDLE_TIMEOUT: Micros = Micros::from_secs(40);
-
-/// Idle time after which any other idle connection is closed. A target counts the connections of a lost host
-/// for 3 s, and the connections of all entries together must leave room for the same entries to reconnect.
-const SPARE_IDLE_TIMEOUT: Micros = Micros::from_millis(1_500);
-
-/// Idle time after which a connection of a team is closed. Each serves only its team, and the entry's share of the
-/// connections bounds their number.
-const TEAM_IDLE_TIMEOUT: Micros = Micros::from_secs(10);
-
 /// Time for which a draining primary is used while another one is promoted; a promotion takes about 1 s, and a
 /// draining target must get no new work after 7 s.
 const DRAINING_PRIMARY_GRACE: Micros = Micros::from_secs(4);
@@ -110,6 +91,8 @@
     /// Name of the target.
     pub(crate) target: SharedName,
     pub(super) state: RefCell<PoolState<P>>,
+    /// Notifies a request without a connection that one was returned or closed.
+    pub(super) returned: Notify,
 }
 
 impl<P> TargetPool<P>
@@ -147,7 +130,13 @@
             detour_backoff_until: Micros::ZERO,
         };
         let (group, target) = (report.group.clone(), report.target.clone());
-        let pool = Rc::new(Self { core, group, target, state: RefCell::new(state) });
+        let pool = Rc::new(Self {
+            core,
+            group,
+            target,
+            state: RefCell::new(state),
+            returned: Notify::new(),
+        });
         pool.update(report, paths, is_primary);
         pool
     }
@@ -213,38 +202,6 @@
         close_all(dropped);
     }
 
-    /// Closes connections that have been idle for too long.
-    pub(crate) fn close_unused(&self) {
-        let now = self.now();
-        let mut dropped = Vec::new();
-        let mut state = self.state.borrow_mut();
-        let mut idle = std::mem::take(&mut state.idle);
-        let spare_timeout =
-            if state.team_relays.is_empty() { SPARE_IDLE_TIMEOUT } else { TEAM_IDLE_TIMEOUT };
-        // The most recently used connection is at the end.
-        let last = idle.pop();
-        for pooled in idle {
-            if now.since(pooled.last_used) < spare_timeout {
-                state.idle.push(pooled);
-            } else {
-                dropped.push(pooled);
-            }
-        }
-        if let Some(last) = last {
-            if now.since(last.last_used) < LAST_IDLE_TIMEOUT {
-                state.idle.push(last);
-            } else {
-                dropped.push(last);
-            }
-        }
-        state.record_closed(dropped.len());
-        drop(state);
-        for _ in &dropped {
-            self.core.count("connections.ended.unused");
-        }
-        close_all(dropped);
-    }
-
     /// Returns the health of the target.
     pub(crate) fn health(&self) -> TargetHealth {
         self.state.borrow().health
@@ -270,107 +227,6 @@
         !state.is_closing(now) && state.path(now, detour).is_some()
     }
 
-    /// Returns the entries through which a team's read reaches the target, or `None` if this entry uses its own
-    /// connections or no path is available.
-    pub(crate) fn lenders(&self, team: &SharedName, detour: bool) -> Option<RelayList> {
-        let mut state = self.state.borrow_mut();
-        match state.path(self.now(), detour)? {
-            TargetPath::Detour => Some(RelayList { entries: state.detour.clone(), detour: true }),
-            TargetPath::Usual => {
-                let entries = self.usual_relays(&mut state, team);
-                (!entries.is_empty()).then_some(RelayList { entries, detour: false })
-            }
-        }
-    }
-
-    /// Returns the entries whose connections a team's work uses while no path has failed; none if it uses those of
-    /// this entry.
-    pub(super) fn usual_relays(
-        &self,
-        state: &mut PoolState<P>,
-        team: &SharedName,
-    ) -> Vec<ProcessHost> {
-        let by_team = !team.is_empty() && !state.team_relays.is_empty();
-        match &state.share {
-            ConnectionShare::Relayed(_) if by_team => state.holders(team).to_vec(),
-            ConnectionShare::Relayed(entries) => entries.clone(),
-            ConnectionShare::Direct(_) if by_team => {
-                let now = self.now();
-                let mut preferred = Vec::new();
-                for holder in state.holders(team).iter() {
-                    if holder.host == self.core.own.host {
-                        break;
-                    }
-                    if !self.core.relay.is_failing(&holder.host, now) {
-                        preferred.push(holder.clone());
-                    }
-                }
-                preferred
-            }
-            ConnectionShare::Direct(_) => Vec::new(),
-        }
-    }
-
-    /// Returns the entries that take a team's work if all connections of this entry are in use.
-    pub(super) fn overflow_relays(
-        &self,
-        state: &mut PoolState<P>,
-        team: &SharedName,
-    ) -> Vec<ProcessHost> {
-        if team.is_empty() || state.team_relays.is_empty() {
-            return Vec::new();
-        }
-        let holders = state.holders(team);
-        holders.iter().filter(|holder| holder.host != self.core.own.host).cloned().collect()
-    }
-
-    /// Runs a read on a connection of one of the entries in `lenders`.
-    pub(crate) async fn read_relayed(
-        self: &Rc<Self>,
-        lenders: &RelayList,
-        call: &ReadCall,
-    ) -> AttemptResult {
-        let kind = SlotKind::Fresh { detour: lenders.detour };
-        let mut guard =
-            self.wait_for_slot(&call.slot(), kind).await.map_err(FailedAttempt::no_connection)?;
-        if lenders.detour {
-            self.probe();
-            self.core.count("reads.detour");
-        }
-        let sent_at = self.now();
-        guard.sent_at = Some(sent_at);
-        let left = call.deadline.since(sent_at).as_duration();
-        let reading = self.core.relay.read(&self.core, lenders, (&self.group, &self.target), call);
-        let Ok(result) = timeout(left, reading).await else {
-            return Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout));
-        };
-        if let Err(failed) = &result
-            && lenders.detour
-            && failed.end == AttemptEnd::NotSent
-        {
-            self.state.borrow_mut().detour_backoff_until = self.now() + DETOUR_BACKOFF;
-        }
-        let answer = result?;
-        let now = self.now();
-        self.record_answer(now.since(sent_at), &answer, true, now);
-        guard.record_answer(now.since(sent_at));
-        let answer = attempt_result(Ok(answer))?;
-        if call.proof == FreshnessProof::Primary {
-            self.record_primary_position(sent_at, answer.position);
-        }
-        Ok(answer)
-    }
-
-    /// Returns this entry's share of the target's connections.
-    pub(crate) fn share(&self) -> ConnectionShare {
-        self.state.borrow().share.clone()
-    }
-
-    /// Returns whether this entry connects to the target directly.
-    pub(crate) fn is_direct(&self) -> bool {
-        matches!(self.state.borrow().share, ConnectionShare::Direct(_))
-    }
-
     /// Waits for a slot and a connection.
     ///
     /// # Errors
@@ -382,15 +238,29 @@
     ) -> Result<TargetLease<P>, LeaseFailure> {
         let slot =
             self.wait_for_slot(&options.slot, SlotKind::Fresh { detour: options.detour }).await?;
-        if let Some(mut pooled) = self.take_idle(slot.ticket, options) {
-            let idle = self.now().since(pooled.last_used);
-            if idle < options.trusted_idle || self.is_alive(&mut pooled, options).await {
-                return Ok(TargetLease::new(pooled, slot));
+        loop {
+            if let Some(mut pooled) = self.take_idle(slot.ticket, options) {
+                let idle = self.now().since(pooled.last_used);
+                if idle < options.trusted_idle || self.is_alive(&mut pooled, options).await {
+                    return Ok(TargetLease::new(pooled, slot));
+                }
+                self.put_back(PooledConnection::closed(self.protocol().clone()));
             }
-            self.put_back(PooledConnection::closed(self.protocol().clone()));
+            let Some(path) = self.connect_path(options, slot.ticket) else {
+                self.wait_for_return(options.slot.deadline).await?;
+                continue;
+            };
+            let pooled = self.connect(options, path).await?;
+            return Ok(TargetLease::new(pooled, slot));
         }
-        let pooled = self.connect(options, slot.ticket).await?;
-        Ok(TargetLease::new(pooled, slot))
+    }
+
+    /// Waits until a connection is returned to the pool, because all of them are in use.
+    async fn wait_for_return(&self, deadline: Micros) -> Result<(), LeaseFailure> {
+        let left = deadline.since(self.now()).as_duration();
+        timeout(left, self.returned.notified())
+            .await
+            .map_err(|_| LeaseFailure::new(FailureKind::QueueTimeout))
     }
 
     /// Waits for a slot until the deadline in `options`.
@@ -506,73 +376,6 @@
         self.grant_slots();
     }
 
-    fn take_idle(
-        &self,
-        ticket: SlotTicket,
-        options: &LeaseOptions<'_>,
-    ) -> Option<PooledConnection<P>> {
-        let mut broken = Vec::new();
-        let mut state = self.state.borrow_mut();
-        let now = self.now();
-        let team = options.slot.team;
-        let serves = |pooled: &PooledConnection<P>| {
-            options.user == ConnectionUser::Entry || pooled.team == *team
-        };
-        if options.user == ConnectionUser::Session
-            && !self.usual_relays(&mut state, team).is_empty()
-        {
-            return None;
-        }
-        let found = loop {
-            let matching = state
-                .idle
-                .iter()
-                .rposition(|pooled| serves(pooled) && pooled.has_values(options.values));
-            let index = matching.or_else(|| state.idle.iter().rposition(serves));
-            let Some(index) = index else { break None };
-            let pooled = state.idle.remove(index);
-            if now.since(pooled.last_used) < IDLE_CHECK_AFTER || pooled.connection.is_usable() {
-                break Some(pooled);
-            }
-            broken.push(pooled);
-        };
-        state.record_closed(broken.len());
-        if found.is_some() {
-            state.reservations.remove(&ticket);
-        }
-        found
-    }
-
-    async fn is_alive(&self, pooled: &mut PooledConnection<P>, options: &LeaseOptions<'_>) -> bool {
-        let left = options.slot.deadline.since(self.now()).min(VERIFY_TIMEOUT);
-        let verified = timeout(left.as_duration(), pooled.verify()).await;
-        matches!(verified, Ok(Ok(())))
-    }
-
-    /// Returns a leased connection to the pool, or closes it if it cannot be reused.
-    pub(super) fn put_back(&self, pooled: PooledConnection<P>) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let kept = !state.is_closing(now) && matches!(state.share, ConnectionShare::Direct(_));
-        let mut dropped = Vec::new();
-        if kept && !pooled.is_relayed() && pooled.is_reusable() {
-            state.idle.push(pooled);
-        } else {
-            if pooled.is_relayed() {
-                state.record_returned();
-            } else {
-                state.record_closed(1);
-            }
-            if kept {
-                self.core.count(pooled.end_metric());
-            }
-            dropped.push(pooled);
-        }
-        drop(state);
-        close_all(dropped);
-        self.grant_slots();
-    }
-
     /// Records the response time, result and log position of an answer.
     pub(super) fn record_answer(
         &self,
@@ -648,7 +451,7 @@
 }
 
 /// Closes connections in background tasks.
-fn close_all<P>(connections: Vec<PooledConnection<P>>)
+pub(super) fn close_all<P>(connections: Vec<PooledConnection<P>>)
 where
     P: StatementProtocol,
 {
