--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod state_machine;
 #[cfg(feature = "sql")]
 pub mod statement;
+pub mod team_limit;
 pub mod time;
 pub mod transaction;
