feat(core): lease of an entry on its table of keys

A withdrawn key must not be used later than the withdrawal time after the acknowledgement, also at an entry that is cut off or suspended.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod contact;
 mod freshness;
 mod health;
+mod key_lease;
 mod limit;
 mod mark_source;
 mod placement;
@@ -20,6 +21,7 @@
     contact::{ContactPace, ContactPlan, ContactStep, ReplicaHistory},
     freshness::{FreshnessLog, FreshnessMark},
     health::{HealthChange, TargetHealth},
+    key_lease::KeyLease,
     limit::AdaptiveLimit,
     mark_source::{MarkSource, mark_is_due, mark_source},
     placement::{Distance, ReadCandidate, order_candidates},
