feat(directory): confirm the version for probes of followers

Entries need to know that no newer version of the directory existed when they sent a probe. A replica asks the leader once for all probes that had arrived before the request, at most every 100 ms and only while probes wait, and returns each probe after the update to the confirmed version; usage and paces of teams travel with the same messages.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -117,6 +117,10 @@
     DirectoryApplied = 208, "directory applied";
     /// The directory could not answer a request of an operator or a target with certainty.
     DirectoryUnavailable = 209, "directory unavailable";
+    /// A team came near its limit; entries admit its operations at a pace.
+    TeamPaced = 210, "team near its limit";
+    /// A team is no longer near its limit.
+    TeamUnpaced = 211, "team no longer near its limit";
     /// An entry joined.
     EntryJoined = 301, "entry joined";
     /// An entry's node lease expired.
@@ -169,6 +173,10 @@
     ControlFollowed = 506, "control followed";
     /// An entry lost the control replica that it followed.
     ControlLost = 507, "control lost";
+    /// An entry may rely on its table of keys.
+    KeysConfirmed = 508, "keys confirmed";
+    /// An entry may not rely on its table of keys any more; it refuses operations with a key.
+    KeysUnconfirmed = 509, "keys unconfirmed";
     /// A statement of a caller ended.
     StatementEnded = 601, "statement ended";
     /// An attempt to run a statement failed and another one follows.
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -1,8 +1,16 @@
 //! Streams of directory updates to the entries that follow this replica.
 
 use {
-    crate::{node::DirectoryNode, reachability::EntryReports},
-    banyansill_core::directory::{DirectoryCommand, DirectoryState, ProcessHost, ProcessKind},
+    crate::{
+        confirm::{PendingProbes, ProbeBoard},
+        node::DirectoryNode,
+        reachability::EntryReports,
+    },
+    banyansill_core::{
+        directory::{DirectoryCommand, DirectoryState, ProcessHost, ProcessKind},
+        names::SharedName,
+        team_limit::TeamUsage,
+    },
     banyansill_replica::command_log::CommandLog,
     banyansill_wire::directory_v1 as v1,
     std::time::Duration,
@@ -33,6 +41,7 @@
 pub(crate) struct FollowStream<L> {
     pub(crate) node: DirectoryNode<L>,
     pub(crate) followers: EntryReports,
+    pub(crate) probes: ProbeBoard,
     pub(crate) replies: mpsc::Sender<Result<v1::FollowReply, Status>>,
     pub(crate) stopping: watch::Receiver<bool>,
 }
@@ -43,53 +52,74 @@
 {
     /// Serves the follower until it disconnects or this replica stops.
     pub(crate) async fn run(self, mut requests: Streaming<v1::FollowRequest>) {
-        let Ok(Some(first)) = requests.message().await else { return };
-        let entry = ProcessHost::from(first.entry.unwrap_or_default());
+        let Ok(Some(mut first)) = requests.message().await else { return };
+        let entry = ProcessHost::from(first.entry.take().unwrap_or_default());
         let host = entry.host.clone();
-        self.record_reach(&entry, first.reach);
+        let since = first.since;
+        let pending = PendingProbes::default();
+        self.record(&entry, first, &pending);
         let recorder = tokio::spawn(keep_recorded(self.node.clone(), entry.clone()));
         let reports = async {
             while let Ok(Some(report)) = requests.message().await {
-                self.record_reach(&entry, report.reach);
+                self.record(&entry, report, &pending);
             }
         };
         let mut stopping = self.stopping.clone();
         tokio::select! {
             () = reports => {}
-            () = self.send_updates(first.since) => {}
+            () = self.send_updates(since, &host, &pending) => {}
             _ = stopping.wait_for(|stop| *stop) => {}
         }
         recorder.abort();
         self.followers.remove(&host);
+        self.probes.remove(&host);
     }
 
-    fn record_reach(&self, entry: &ProcessHost, reach: Vec<v1::Reach>) {
+    fn record(&self, entry: &ProcessHost, request: v1::FollowRequest, pending: &PendingProbes) {
+        let now = self.node.clock.now();
+        if request.probe > 0 {
+            let usage: Vec<TeamUsage> = request.usage.into_iter().map(TeamUsage::from).collect();
+            pending.add(self.probes.record(&entry.host, &usage, now), request.probe);
+        }
         let report = v1::EntryReach {
             entry: entry.host.to_string(),
             address: entry.address.to_string(),
-            reach,
+            reach: request.reach,
         };
-        self.followers.record(report, self.node.clock.now());
+        self.followers.record(report, now);
     }
 
-    async fn send_updates(&self, mut since: u64) {
+    async fn send_updates(&self, mut since: u64, host: &SharedName, pending: &PendingProbes) {
         let mut status = self.node.log.status();
+        let mut rounds = self.probes.rounds();
         loop {
             let has_leader = status.borrow_and_update().leader.is_some();
+            let round = *rounds.borrow_and_update();
             let update = self.node.log.inspect(move |state| state.update_since(since)).await;
             let Ok(update) = update else { return };
             let keepalive = Instant::now() + KEEPALIVE_INTERVAL;
-            if let Some(update) = update {
-                since = update.version;
-                if self.replies.send(Ok(update.into())).await.is_err() {
-                    return;
+            let updated = update.is_some();
+            let mut reply = update.map(v1::FollowReply::from).unwrap_or_default();
+            if updated {
+                since = reply.version;
+            }
+            // A confirmation must not precede the update to its version.
+            let confirmed = if since >= round.version { pending.take(round) } else { None };
+            if let Some(probe) = confirmed {
+                reply.confirmed_probe = probe;
+                reply.confirmed_version = round.version;
+                for pace in self.probes.paces_for(host, self.node.clock.now()) {
+                    reply.paces.push(pace.into());
                 }
+            }
+            // A replica without a leader sends no empty messages, so that its followers switch to another one.
+            if (updated || confirmed.is_some() || has_leader)
+                && self.replies.send(Ok(reply)).await.is_err()
+            {
+                return;
+            }
+            if updated {
                 sleep(UPDATE_INTERVAL).await;
-            } else if has_leader {
-                // A replica without a leader sends no empty messages, so that its followers switch to another one.
-                if self.replies.send(Ok(v1::FollowReply::default())).await.is_err() {
-                    return;
-                }
             }
             let sent_version = since;
             let changed = async {
@@ -103,8 +133,17 @@
                     }
                 }
             };
+            let probe_confirmed = async {
+                while rounds.changed().await.is_ok() {
+                    let round = *rounds.borrow_and_update();
+                    if pending.includes_any(round) {
+                        return;
+                    }
+                }
+            };
             tokio::select! {
                 running = changed => if !running { return },
+                () = probe_confirmed => {}
                 () = sleep_until(keepalive) => {}
                 () = self.replies.closed() => return,
             }
--- a/crates/directory/src/leader.rs
+++ b/crates/directory/src/leader.rs
@@ -73,6 +73,17 @@
         Ok(())
     }
 
+    pub(crate) async fn confirm(
+        &self,
+        leader: &str,
+        request: v1::ConfirmRequest,
+    ) -> Result<v1::ConfirmReply, DirectoryError> {
+        let mut client = self.client(leader)?;
+        let reply =
+            client.confirm(request).await.map_err(|status| self.connection_failed(&status))?;
+        Ok(reply.into_inner())
+    }
+
     pub(crate) async fn join(
         &self,
         address: &str,
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -1,9 +1,11 @@
 //! Control of groups whose servers fence themselves: the replicated directory, its followers, promotions
 //! of primaries, and a cluster of directory replicas that bootstraps and repairs itself.
 
+mod confirm;
 mod follow;
 mod join;
 mod leader;
+mod limits;
 mod node;
 mod probe;
 mod process;
@@ -14,6 +16,9 @@
 mod supervisor;
 
 pub use {
+    confirm::{
+        ConfirmSource, ConfirmedRound, ConfirmedState, PendingProbes, ProbeBoard, ROUND_INTERVAL,
+    },
     node::{DirectoryError, DirectoryNode, RoutesOutcome},
     process::{DirectoryHandle, SpawnError, spawn},
     promotion::{PromotionOrder, PromotionPort, PromotionReply},
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -1,7 +1,7 @@
 //! Operations that a directory replica offers to operators, targets and other processes.
 
 use {
-    crate::leader::LeaderClient,
+    crate::{leader::LeaderClient, limits::LeaderLimits},
     banyansill_core::{
         directory::{
             DirectoryCommand, DirectoryRejection, DirectoryReply, DirectoryState, ProcessHost,
@@ -57,6 +57,7 @@
     pub(crate) own: ProcessHost,
     pub(crate) clock: MonotonicClock,
     pub(crate) leader: LeaderClient,
+    pub(crate) limits: LeaderLimits,
     /// Limits the log lines about failures; an outage would log one for every report of every target.
     log_limit: Arc<Mutex<LogRateLimiter>>,
 }
@@ -68,7 +69,14 @@
     /// Creates the node of the replica with the given log; `own` describes its process.
     #[must_use]
     pub fn new(log: L, own: ProcessHost, clock: MonotonicClock) -> Self {
-        Self { log, own, clock, leader: LeaderClient::default(), log_limit: Arc::default() }
+        Self {
+            log,
+            own,
+            clock,
+            leader: LeaderClient::default(),
+            limits: LeaderLimits::default(),
+            log_limit: Arc::default(),
+        }
     }
 
     /// Validates routes and activates them.
@@ -127,16 +135,6 @@
         self.log.inspect(|state| (state.routes().version, state.routes().document.clone())).await
     }
 
-    /// Returns the newest version of the directory if this replica is the leader, confirmed by a majority.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if this replica is not the leader or no majority confirms its leadership.
-    pub(crate) async fn confirm_here(&self) -> Result<u64, LogError> {
-        self.log.confirm().await?;
-        self.log.inspect(DirectoryState::version).await
-    }
-
     /// Records the report of a target about itself.
     ///
     /// # Errors
--- a/crates/directory/src/process.rs
+++ b/crates/directory/src/process.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        confirm::ProbeBoard,
         join::{self, PendingJoins},
         node::DirectoryNode,
         promotion::PromotionPort,
@@ -144,11 +145,13 @@
     let node = DirectoryNode::new(log, own, clock);
     let followers = EntryReports::default();
     let reports = EntryReports::default();
+    let probes = ProbeBoard::default();
     let pending_joins = PendingJoins::default();
     let (stop, stopping) = watch::channel(false);
     let service = DirectoryService {
         node: node.clone(),
         followers: followers.clone(),
+        probes: probes.clone(),
         reports: reports.clone(),
         pending_joins: pending_joins.clone(),
         stopping: stopping.clone(),
@@ -170,12 +173,18 @@
     });
     let (seeds, current_seeds) = watch::channel(settings.seed_addresses());
     let voters_wanted = settings.voters_wanted();
+    let confirm_clock = node.clock;
     let sources =
         SupervisorSources { node: node.clone(), reports: reports.clone(), protocol, port };
     let tasks = vec![
         tokio::spawn(join::keep_membership(node.clone(), current_seeds)),
         tokio::spawn(join::repair(node.clone(), pending_joins, voters_wanted)),
         tokio::spawn(report_reach(node.clone(), followers, reports.clone())),
+        tokio::spawn(probes.run(
+            node.clone(),
+            move || confirm_clock.now(),
+            board.client(METRIC_PREFIX),
+        )),
         tokio::spawn(expire_entries(node.clone(), reports)),
         tokio::spawn(set_gauges(node.clone(), board.client(METRIC_PREFIX))),
         tokio::spawn(supervisor::run(sources)),
@@ -306,6 +315,9 @@
     loop {
         ticks.tick().await;
         let status = node.log.status().borrow().clone();
+        if !status.leading {
+            node.limits.clear();
+        }
         let counts = node.log.inspect(|state| {
             (state.version(), state.routes().version, state.targets().len(), state.entries().len())
         });
@@ -328,6 +340,7 @@
             ("voters", voters),
             // Only the leader knows this; other replicas report 0.
             ("voters.answering", answering),
+            ("teams.paced", node.limits.paced_teams() as u64),
         ];
         for (name, value) in gauges {
             // Gauges are written to the board in memory, which cannot fail.
--- a/crates/directory/src/service.rs
+++ b/crates/directory/src/service.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        confirm::ProbeBoard,
         follow::{FOLLOWER_QUEUE_CAPACITY, FollowStream},
         join::PendingJoins,
         node::{DirectoryError, DirectoryNode},
@@ -11,6 +12,8 @@
         compression::compress,
         consensus::{ReplicaIdentity, WaitingReplica},
         directory::DirectoryState,
+        names::SharedName,
+        team_limit::TeamUsage,
     },
     banyansill_replica::{
         command_log::{CommandLog, LogError},
@@ -29,6 +32,8 @@
     pub(crate) node: DirectoryNode<ReplicaHandle<DirectoryState>>,
     /// Reports of the entries that follow this replica.
     pub(crate) followers: EntryReports,
+    /// Probes and usage of the entries that follow this replica.
+    pub(crate) probes: ProbeBoard,
     /// Reports of all entries; complete only while this replica leads.
     pub(crate) reports: EntryReports,
     pub(crate) pending_joins: PendingJoins,
@@ -73,6 +78,7 @@
         let stream = FollowStream {
             node: self.node.clone(),
             followers: self.followers.clone(),
+            probes: self.probes.clone(),
             replies,
             stopping: self.stopping.clone(),
         };
@@ -93,10 +99,14 @@
 
     async fn confirm(
         &self,
-        _request: Request<v1::ConfirmRequest>,
+        request: Request<v1::ConfirmRequest>,
     ) -> Result<Response<v1::ConfirmReply>, Status> {
-        let (version, paces) = (self.node.confirm_here().await.map_err(unavailable)?, Vec::new());
-        Ok(Response::new(v1::ConfirmReply { version, paces }))
+        let request = request.into_inner();
+        let replica = SharedName::from(request.replica);
+        let usage: Vec<TeamUsage> = request.usage.into_iter().map(TeamUsage::from).collect();
+        let confirmed = self.node.confirm_here(&replica, &usage).await.map_err(unavailable)?;
+        let paces = confirmed.paces.into_iter().map(v1::TeamPace::from).collect();
+        Ok(Response::new(v1::ConfirmReply { version: confirmed.version, paces }))
     }
 
     async fn join(
--- a/crates/wire/src/directory.rs
+++ b/crates/wire/src/directory.rs
@@ -10,6 +10,7 @@
         names::SharedName,
         position::LogPosition,
         route::TargetRole,
+        team_limit::{TeamPace, TeamUsage},
         time::Micros,
     },
     bytes::Bytes,
@@ -129,6 +130,36 @@
     }
 }
 
+impl From<TeamUsage> for v1::TeamUsage {
+    fn from(usage: TeamUsage) -> Self {
+        let TeamUsage { team, admitted, refused } = usage;
+        Self { team: team.to_string(), admitted, refused }
+    }
+}
+
+impl From<v1::TeamUsage> for TeamUsage {
+    fn from(usage: v1::TeamUsage) -> Self {
+        let v1::TeamUsage { team, admitted, refused } = usage;
+        Self { team: team.into(), admitted, refused }
+    }
+}
+
+impl From<TeamPace> for v1::TeamPace {
+    fn from(pace: TeamPace) -> Self {
+        Self {
+            team: pace.team.to_string(),
+            rate: pace.rate.unwrap_or_default(),
+            lifted: pace.rate.is_none(),
+        }
+    }
+}
+
+impl From<v1::TeamPace> for TeamPace {
+    fn from(pace: v1::TeamPace) -> Self {
+        Self { team: pace.team.into(), rate: (!pace.lifted).then_some(pace.rate) }
+    }
+}
+
 impl From<TargetReport> for v1::Target {
     fn from(report: TargetReport) -> Self {
         Self {
