feat(gateway): hold a lease on the keys and report usage

While the directory has teams, the follower sends a probe with their usage every 200 ms, or after 50 ms if a report should not wait, and its confirmations extend the lease on the keys. A confirmation counts only after sessions see its version, and only for a probe that was sent on the same stream.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,10 @@
 //! Client that follows the directory at a control replica and reports unreachable targets to it.
 
 use {
-    crate::gateway::ReachabilityChange,
+    crate::{
+        gateway::ReachabilityChange,
+        team_access::{ProbeConfirmation, TeamAccess},
+    },
     banyansill_core::{
         collections::FastMap,
         directory::{DirectoryUpdate, ProcessHost},
@@ -18,7 +21,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{interval, sleep, timeout},
+        time::{Instant, interval, sleep, timeout},
     },
     tokio_stream::wrappers::ReceiverStream,
     tonic::{Status, Streaming, transport::Endpoint},
@@ -41,6 +44,12 @@
 /// Interval at which targets that stay unreachable are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval of probes, which confirm keys and carry the usage of teams, while the directory has teams.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Minimum time between two probes; more frequent ones would reach the leader in the same request.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Number of reports that may wait to be sent to the control replica.
 const REPORT_QUEUE_CAPACITY: usize = 16;
 
@@ -55,6 +64,7 @@
     pub(crate) seeds: watch::Receiver<Vec<SharedName>>,
     pub(crate) clock: MonotonicClock,
     pub(crate) table: watch::Sender<Arc<RoutingTable>>,
+    pub(crate) teams: TeamAccess,
     pub(crate) reachability_changes: mpsc::UnboundedReceiver<ReachabilityChange>,
 }
 
@@ -100,7 +110,9 @@
                 sleep(RECONNECT_DELAY).await;
                 continue;
             };
-            if let FollowEnd::Failed(address, reason) = self.follow(followed).await {
+            let end = self.follow(followed).await;
+            self.sources.teams.record_disconnect();
+            if let FollowEnd::Failed(address, reason) = end {
                 self.lose(address, &reason);
                 sleep(RECONNECT_DELAY).await;
             }
@@ -225,17 +237,21 @@
             ""
         );
         let mut ticks = interval(REPORT_INTERVAL);
+        let teams = self.sources.teams.clone();
+        let mut last_probe = Micros::ZERO;
+        let mut last_probe_at = Instant::now();
+        let mut probe_due = Box::pin(sleep(Duration::ZERO));
         let first_timeout = if version == 0 { FIRST_UPDATE_TIMEOUT } else { UPDATE_TIMEOUT };
         let mut update_timeout = Box::pin(sleep(first_timeout));
         loop {
             tokio::select! {
                 reply = replies.message() => {
                     match reply {
-                        Ok(Some(reply)) => self.apply(reply),
+                        Ok(Some(reply)) => self.apply(reply, last_probe),
                         Ok(None) => return failed("stream closed"),
                         Err(status) => return failed(&status.to_string()),
                     }
-                    update_timeout.as_mut().reset(tokio::time::Instant::now() + UPDATE_TIMEOUT);
+                    update_timeout.as_mut().reset(Instant::now() + UPDATE_TIMEOUT);
                     let now = self.sources.clock.now();
                     if !self.is_nearest(&address) && self.history.is_clear(now) {
                         return FollowEnd::Nearer;
@@ -251,13 +267,41 @@
                         self.report(&reports);
                     }
                 }
+                () = &mut probe_due, if teams.has_teams() => {
+                    last_probe = self.send_probe(&reports).unwrap_or(last_probe);
+                    last_probe_at = Instant::now();
+                    probe_due.as_mut().reset(last_probe_at + PROBE_INTERVAL);
+                }
+                () = teams.report_requested(), if teams.has_teams() => {
+                    let next = probe_due.deadline().min(last_probe_at + MIN_PROBE_INTERVAL);
+                    probe_due.as_mut().reset(next);
+                }
                 () = &mut update_timeout => return failed("no message in time"),
             }
         }
     }
 
-    fn apply(&self, reply: v1::FollowReply) {
-        let update = DirectoryUpdate::from(reply);
+    /// Applies a message of the replica to which the last probe was sent at `last_probe`.
+    fn apply(&self, mut reply: v1::FollowReply, last_probe: Micros) {
+        let mut paces = Vec::new();
+        for pace in std::mem::take(&mut reply.paces) {
+            paces.push(pace.into());
+        }
+        let (probe, version) = (Micros(reply.confirmed_probe), reply.confirmed_version);
+        self.apply_update(DirectoryUpdate::from(reply));
+        // Control returns the times of this process's own probes, so any other time is a fault that proves nothing.
+        if probe > Micros::ZERO && probe <= last_probe {
+            let confirmation = ProbeConfirmation { probe, version, paces };
+            self.sources.teams.record_confirmation(&confirmation, self.sources.clock.now());
+        }
+    }
+
+    fn apply_update(&self, update: DirectoryUpdate) {
+        let teams_changed = update.reset
+            || !update.teams.is_empty()
+            || !update.removed_teams.is_empty()
+            || !update.entries.is_empty()
+            || !update.removed_entries.is_empty();
         let current = self.sources.table.borrow().clone();
         let Some(table) = current.updated(update) else { return };
         log::info!(
@@ -268,7 +312,10 @@
             routes = table.book_version;
             ""
         );
-        self.sources.table.send_replace(Arc::new(table));
+        let table = Arc::new(table);
+        self.sources.table.send_replace(Arc::clone(&table));
+        // Only now, when sessions see the table, may a confirmation of its version count.
+        self.sources.teams.set_table(&table, teams_changed, self.sources.clock.now());
     }
 
     fn record_change(&mut self, change: ReachabilityChange) {
@@ -296,6 +343,25 @@
         reach
     }
 
+    /// Sends a probe with the usage of teams; returns its time, or `None` if the queue is full.
+    fn send_probe(&self, reports: &mpsc::Sender<v1::FollowRequest>) -> Option<Micros> {
+        // The place is reserved first: usage that is taken and not sent would be lost with the next confirmation.
+        let place = reports.try_reserve().ok()?;
+        let probe = self.sources.clock.now();
+        let mut usage = Vec::new();
+        for team in self.sources.teams.take_report(probe) {
+            usage.push(team.into());
+        }
+        let reach = self.unreachable_targets();
+        place.send(v1::FollowRequest {
+            probe: probe.0,
+            usage,
+            reach,
+            ..v1::FollowRequest::default()
+        });
+        Some(probe)
+    }
+
     fn report(&self, reports: &mpsc::Sender<v1::FollowRequest>) {
         let reach = self.unreachable_targets();
         let request = v1::FollowRequest { reach, ..v1::FollowRequest::default() };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -122,6 +122,7 @@
     let (relay, inbox) = RelayService::new();
     let peers = settings.peers;
     let listener = TcpListener::bind(peers).await.map_err(listen_error(peers))?;
+    let teams = TeamAccess::new(settings.withdrawal, board.client(METRIC_PREFIX));
     let sources = CallerSources {
         settings: settings.clone(),
         own: own.clone(),
@@ -131,7 +132,7 @@
         stage: stage_receiver,
         reachability_changes,
         inbox,
-        teams: TeamAccess,
+        teams: teams.clone(),
         metrics: board.client(METRIC_PREFIX),
     };
     let callers = CallerListener::bind(sources).await.map_err(listen_error(settings.callers))?;
@@ -148,6 +149,7 @@
         seeds: known_seeds,
         clock,
         table,
+        teams,
         reachability_changes: changes_receiver,
     });
     let tasks = vec![
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway.
 
 use {
-    banyansill_core::{collections::FastMap, gateway::Distance, names::SharedName},
+    banyansill_core::{collections::FastMap, gateway::Distance, names::SharedName, time::Micros},
     banyansill_runtime::{
         logs::LogLevels,
         settings::{SettingsReader, SettingsSource},
@@ -19,6 +19,10 @@
 /// cut off requests.
 const GRACE_BOUNDS_MS: (u64, u64) = (1_000, 600_000);
 
+/// Minimum and maximum of [`GatewaySettings::withdrawal`], in milliseconds; below the minimum, keys would often be
+/// unconfirmed, since they are confirmed every 200 ms and a lost control replica is noticed after 1.2 s.
+const WITHDRAWAL_BOUNDS_MS: (u64, u64) = (1_000, 600_000);
+
 /// Assignment of an availability zone to a region.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneSettings {
@@ -51,6 +55,9 @@
     pub control_port: u16,
     /// Grace period: time between the stop signal and the end of the process.
     pub grace: Duration,
+    /// Time after the acknowledgement of its withdrawal at which a key must not be used any more, even if control
+    /// cannot be reached; `None` to use keys until their withdrawal is known.
+    pub withdrawal: Option<Micros>,
     /// Log levels such as `info` or `info,request=warn`.
     pub log_levels: String,
 }
@@ -64,6 +71,7 @@
 impl SettingsSource for GatewaySettings {
     fn read(reader: &mut SettingsReader<'_>) -> Self {
         let (low, high) = GRACE_BOUNDS_MS;
+        let (withdrawal_low, withdrawal_high) = WITHDRAWAL_BOUNDS_MS;
         let settings = Self {
             host: reader.string("host").into(),
             zone: reader.string("zone").into(),
@@ -76,6 +84,10 @@
             control_port: u16::try_from(reader.number("control_port", 0, 1, u16::MAX.into()))
                 .unwrap_or(0),
             grace: Duration::from_millis(reader.number("grace_ms", DEFAULT_GRACE_MS, low, high)),
+            // An absent field is the only way to obtain 0, which is below the minimum.
+            withdrawal: Some(reader.number("withdrawal_ms", 0, withdrawal_low, withdrawal_high))
+                .filter(|millis| *millis > 0)
+                .map(Micros::from_millis),
             log_levels: reader
                 .optional_parsed::<LogLevels>("log_levels")
                 .map_or_else(|| "info".into(), Into::into),
