--- a/crates/gateway/src/team_access.rs
+++ b/crates/gateway/src/team_access.rs
@@ -70,6 +70,10 @@
             unconfirmed_since: None,
             report_requested: false,
         };
+        if withdrawal.is_some() {
+            // Metrics are written to the registry in memory, which cannot fail.
+            let _ = metrics.gauge("keys.confirmed", 0_u64);
+        }
         let shared = AccessShared {
             state: Mutex::new(state),
             has_teams: AtomicBool::new(false),
@@ -156,7 +160,6 @@
         }
         state.confirmed = confirmed;
         let metrics = &self.shared.metrics;
-        // Metrics are written to the registry in memory, which cannot fail.
         let _ = metrics.gauge("keys.confirmed", u64::from(confirmed));
         if confirmed {
             let after = state.unconfirmed_since.map_or(Micros::ZERO, |since| now.since(since));
