feat(core): limits of teams by shares of demand

Cause: docs/design/team-limits.md asks for admission without a round trip and a bound over all entries.

Change: a token bucket for each team at the leader, a share of demand that all entries admit near the limit, a credit for what is unacknowledged, and a bucket of its own for an entry out of touch.

--- a/crates/core/src/team_limit/mod.rs
+++ b/crates/core/src/team_limit/mod.rs
@@ -1,17 +1,22 @@
-//! Limits of teams over all entries: free admission within a bounded credit, and paces near the limit.
+//! Limits of teams over all entries: free admission within a bounded credit, and shares near the limit.
 //!
 //! An entry admits or refuses operations by its [`TeamLimiter`] and reports what it did. A replica of control sums the
 //! reports of its followers in a [`UsageCollector`] and asks the leader, whose [`LimitLedger`] answers with paces.
 
-#![allow(clippy::missing_const_for_fn, reason = "the bodies are not written yet")]
-
 mod collector;
+mod demand;
 mod ledger;
 mod limiter;
 
 pub use {collector::UsageCollector, ledger::LimitLedger, limiter::TeamLimiter};
 
-use crate::names::SharedName;
+use crate::{names::SharedName, time::Micros};
+
+/// Value of [`TeamPace::rate`] at which every operation is admitted.
+pub const FULL_RATE: u64 = 1_000_000;
+
+/// Time for which a pace holds without being renewed, while an entry is in touch.
+const PACE_LIFETIME: Micros = Micros::from_millis(1_500);
 
 /// Operations of a team since the last report.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,11 +29,18 @@
     pub refused: u32,
 }
 
-/// Rate at which operations of a team may be admitted.
+/// Share of a team's operations that every entry admits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamPace {
     /// Name of the team.
     pub team: SharedName,
-    /// Thousandths of an operation per second; `None` if the team is no longer near its limit.
+    /// Rate of admission, in millionths of the operations that are asked for; `None` if the team is no longer near its
+    /// limit.
     pub rate: Option<u64>,
 }
+
+/// Returns a duration in seconds.
+#[must_use]
+const fn seconds(span: Micros) -> f64 {
+    span.0 as f64 / 1_000_000.0
+}
