--- a/crates/core/src/team_limit/demand.rs
+++ b/crates/core/src/team_limit/demand.rs
@@ -11,8 +11,8 @@
 
 impl DemandRate {
     /// Adds operations; earlier ones lose weight over `memory`.
-    pub(super) fn record(&mut self, operations: u32, memory: Micros, now: Micros) {
-        self.rate = self.at(memory, now) + f64::from(operations) / seconds(memory);
+    pub(super) fn record(&mut self, operations: f64, memory: Micros, now: Micros) {
+        self.rate = self.at(memory, now) + operations / seconds(memory);
         self.updated = self.updated.max(now);
     }
 
--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -28,6 +28,12 @@
 /// Operations that may be exceeded on top, which lets small teams vary.
 const TOLERANCE_OPERATIONS: f64 = 20.0;
 
+/// Refill of a bucket as a part of the rate, which uses a part of the tolerance.
+const REFILL_PART: f64 = 1.03;
+
+/// Time for which a new leader credits the rate: the first reports contain what ran since its predecessor's last answer.
+const FIRST_SPAN: f64 = 0.5;
+
 /// Part of the tolerance that teams may use for long; the rest is for what entries admit until they learn of a change.
 const TARGET_DEBT: f64 = 1.0 / 3.0;
 
@@ -75,8 +81,9 @@
 
     /// Adds what the bucket gained since the last call.
     fn refill(&mut self, now: Micros) {
-        let elapsed = self.updated.map_or(0.0, |updated| seconds(now.since(updated)));
-        self.level = (self.level + self.rate() * elapsed).min(self.limit.burst as f64);
+        let elapsed = self.updated.map_or(FIRST_SPAN, |updated| seconds(now.since(updated)));
+        self.level =
+            (self.level + self.rate() * REFILL_PART * elapsed).min(self.limit.burst as f64);
         self.updated = Some(self.updated.map_or(now, |updated| updated.max(now)));
     }
 
@@ -110,6 +117,8 @@
 #[derive(Debug, Default)]
 pub struct LimitLedger {
     buckets: BTreeMap<SharedName, TeamBucket>,
+    /// Time of the last report of each replica.
+    reported: BTreeMap<SharedName, Micros>,
 }
 
 impl LimitLedger {
@@ -138,17 +147,24 @@
     /// Adds the usage of a replica's followers and returns the paces of all teams near their limit.
     pub fn record(
         &mut self,
-        _replica: &SharedName,
+        replica: &SharedName,
         usage: &[TeamUsage],
         now: Micros,
     ) -> Vec<TeamPace> {
+        // A report after a pause is spread over the pause, or it would look like a flood.
+        let pause = self
+            .reported
+            .insert(replica.clone(), now)
+            .map_or(FIRST_SPAN, |last| seconds(now.since(last)));
+        let weight = (seconds(DEMAND_MEMORY) / pause.max(f64::MIN_POSITIVE)).min(1.0);
         for used in usage {
             let Some(bucket) = self.buckets.get_mut(&used.team) else {
                 continue;
             };
             bucket.refill(now);
             bucket.level -= f64::from(used.admitted);
-            bucket.demand.record(used.admitted.saturating_add(used.refused), DEMAND_MEMORY, now);
+            let asked = f64::from(used.admitted) + f64::from(used.refused);
+            bucket.demand.record(asked * weight, DEMAND_MEMORY, now);
         }
         let mut paces = Vec::new();
         for (team, bucket) in &mut self.buckets {
@@ -166,5 +182,6 @@
         for bucket in self.buckets.values_mut() {
             *bucket = TeamBucket::new(bucket.limit);
         }
+        self.reported.clear();
     }
 }
--- a/crates/core/src/team_limit/limiter.rs
+++ b/crates/core/src/team_limit/limiter.rs
@@ -37,14 +37,29 @@
 /// Wait of a caller when the credit is used up: half a report interval, after which the reports are acknowledged.
 const CREDIT_WAIT: Micros = Micros::from_millis(100);
 
-/// Operations that an entry out of touch admits beyond its rate, on average.
-const ALONE_CREDIT: f64 = 0.5;
+/// Operations that all entries out of touch admit together beyond their rate, whatever the limit.
+const ALONE_OPERATIONS: f64 = 20.0;
+
+/// Seconds of the rate that a flood asks for while entries are out of touch: 4.7 times the rate for 3.2 s.
+const ALONE_FLOOD: f64 = 15.0;
+
+/// Seconds of the rate that all entries out of touch may admit of a flood that reaches each of them at most once.
+const ALONE_SPARSE: f64 = 3.0;
 
 /// Part of the burst that all entries out of touch admit together beyond their rate.
 const ALONE_BURST: f64 = 0.8;
 
+/// The same for entries with a small demand, most of which use little of their part.
+const ALONE_SPARSE_BURST: f64 = 1.0;
+
+/// Part of its usual demand that an entry out of touch admits.
+const ALONE_USUAL: f64 = 0.9;
+
 /// Part of the rate that is divided equally among entries out of touch, beside their usual demand.
-const ALONE_PART: f64 = 0.2;
+const ALONE_PART: f64 = 0.3;
+
+/// Part of the burst that all entries out of touch admit together if the team was near its limit.
+const ALONE_PACED_BURST: f64 = 0.2;
 
 /// Part of its last pace that an entry out of touch admits, since those in touch take over the rest.
 const ALONE_PACE: f64 = 0.5;
@@ -67,6 +82,14 @@
     updated: Micros,
 }
 
+impl AloneBucket {
+    fn refill(&mut self, now: Micros) {
+        let gained = seconds(now.since(self.updated)) * self.rate;
+        self.level = (self.level + gained).min(self.capacity.max(1.0));
+        self.updated = self.updated.max(now);
+    }
+}
+
 /// State of one team with a limit.
 #[derive(Debug)]
 struct TeamState {
@@ -110,7 +133,6 @@
 
     /// Admits within the credit and the share of the team.
     fn admit_in_touch(&mut self, entries: f64, now: Micros) -> Result<(), Micros> {
-        self.alone = None;
         if f64::from(self.unacknowledged) >= self.credit(entries, now) {
             return Err(CREDIT_WAIT);
         }
@@ -137,9 +159,7 @@
         let Some(bucket) = &mut self.alone else {
             return Ok(());
         };
-        let gained = seconds(now.since(bucket.updated)) * bucket.rate;
-        bucket.level = (bucket.level + gained).min(bucket.capacity.max(1.0));
-        bucket.updated = now;
+        bucket.refill(now);
         // The phase lets a credit of half an operation admit one operation at every second entry.
         if bucket.level + self.phase >= 1.0 {
             bucket.level -= 1.0;
@@ -150,17 +170,43 @@
         Err(self.retry(wait))
     }
 
+    /// Returns the bucket of an entry that lost contact: its usual demand, a part of the rate, and a credit.
     fn open_alone(&self, entries: f64, now: Micros) -> AloneBucket {
         let usual = self.usual.at(USUAL_MEMORY, now);
-        let (capacity, rate) = if self.share < 1.0 {
-            (ALONE_CREDIT, usual * self.share * ALONE_PACE)
-        } else {
-            let capacity = (self.limit.burst as f64 * ALONE_BURST / entries).max(ALONE_CREDIT);
-            (capacity, usual + self.rate() * ALONE_PART / entries)
-        };
+        let burst = self.limit.burst as f64 / entries;
+        if self.share < 1.0 {
+            let capacity = burst * ALONE_PACED_BURST;
+            return AloneBucket {
+                level: capacity,
+                capacity,
+                rate: usual * self.share * ALONE_PACE,
+                updated: now,
+            };
+        }
+        let flood = (self.rate() * ALONE_FLOOD).max(1.0);
+        let capacity = (burst * (ALONE_BURST + ALONE_SPARSE_BURST / (1.0 + usual)))
+            .max(ALONE_OPERATIONS / entries)
+            .max(((ALONE_OPERATIONS + self.rate() * ALONE_SPARSE) / flood).min(1.0));
+        let rate = usual * ALONE_USUAL + self.rate() * ALONE_PART / entries;
         AloneBucket { level: capacity, capacity, rate, updated: now }
     }
 
+    /// Ends the time out of touch.
+    ///
+    /// What the entry's bucket gained meanwhile is part of the team's rate, so only what it took beyond is reported. A
+    /// report of everything would count as one burst, since the leader's bucket was full.
+    fn settle(&mut self, now: Micros) {
+        let Some(mut bucket) = self.alone.take() else {
+            return;
+        };
+        bucket.refill(now);
+        let taken = (bucket.capacity - bucket.level).ceil().max(0.0) as u32;
+        let settled = self.admitted.saturating_sub(taken);
+        self.admitted -= settled;
+        self.unacknowledged = self.unacknowledged.saturating_sub(settled);
+        self.refused = 0;
+    }
+
     fn retry(&self, wait: f64) -> Micros {
         let next = (1.0 / self.rate().max(f64::MIN_POSITIVE)).clamp(RETRY_MINIMUM, RETRY_MAXIMUM);
         Micros((wait.clamp(next, RETRY_MAXIMUM) * 1_000_000.0) as u64)
@@ -231,7 +277,7 @@
             state.admit_alone(entries, now)
         };
         if in_touch {
-            state.usual.record(1, USUAL_MEMORY, now);
+            state.usual.record(1.0, USUAL_MEMORY, now);
         }
         if verdict.is_ok() {
             state.admitted = state.admitted.saturating_add(1);
@@ -249,7 +295,7 @@
         self.urgent = false;
         let mut usage = Vec::new();
         for (team, state) in &mut self.states {
-            if state.admitted == 0 && state.refused == 0 {
+            if state.alone.is_some() || (state.admitted == 0 && state.refused == 0) {
                 continue;
             }
             let (admitted, refused) =
@@ -270,7 +316,13 @@
 
     /// Acknowledges all reports up to the one of `probe` and takes the paces that came back.
     pub fn record_confirmation(&mut self, probe: Micros, paces: &[TeamPace], now: Micros) {
+        let was_alone = now.since(self.contact) >= CONTACT_TIMEOUT;
         self.contact = self.contact.max(probe);
+        if was_alone && now.since(self.contact) < CONTACT_TIMEOUT {
+            for state in self.states.values_mut() {
+                state.settle(now);
+            }
+        }
         while let Some(report) = self.sent.pop_front_if(|report| report.probe <= probe) {
             for used in report.usage {
                 let Some(state) = self.states.get_mut(&used.team) else {
