--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -47,8 +47,8 @@
 /// Interval of probes, which confirm keys and carry the usage of teams, while the directory has teams.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Minimum time between two probes; more frequent ones would reach the leader in the same request.
-const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum time between two probes; replicas ask the leader every 100 ms, so more frequent ones would wait there.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Number of reports that may wait to be sent to the control replica.
 const REPORT_QUEUE_CAPACITY: usize = 16;
@@ -105,6 +105,8 @@
     /// Follows one control replica at a time until the process ends.
     pub(crate) async fn run(mut self) {
         loop {
+            // Notes a lapse that no session has noticed.
+            self.sources.teams.keys_are_confirmed(self.sources.clock.now());
             let addresses = self.addresses();
             let Some(followed) = self.contact(&addresses).await else {
                 sleep(RECONNECT_DELAY).await;
@@ -348,6 +350,7 @@
         // The place is reserved first: usage that is taken and not sent would be lost with the next confirmation.
         let place = reports.try_reserve().ok()?;
         let probe = self.sources.clock.now();
+        self.sources.teams.keys_are_confirmed(probe);
         let mut usage = Vec::new();
         for team in self.sources.teams.take_report(probe) {
             usage.push(team.into());
