--- a/crates/directory/tests/confirm_rounds.rs
+++ b/crates/directory/tests/confirm_rounds.rs
@@ -1,7 +1,11 @@
 //! Rounds of confirmations against a leader that answers when the test says so.
 
 use {
-    banyansill_core::{names::SharedName, team_limit::TeamUsage, time::Micros},
+    banyansill_core::{
+        names::SharedName,
+        team_limit::{TeamPace, TeamUsage},
+        time::Micros,
+    },
     banyansill_directory::{
         ConfirmSource, ConfirmedRound, ConfirmedState, PendingProbes, ProbeBoard, ROUND_INTERVAL,
     },
@@ -21,7 +25,10 @@
 const SILENCE: Duration = Duration::from_millis(350);
 
 /// Request of the board to the leader; the test sends the answer.
-type AskedLeader = oneshot::Sender<Option<ConfirmedState>>;
+struct AskedLeader {
+    usage: Vec<TeamUsage>,
+    answer: oneshot::Sender<Option<ConfirmedState>>,
+}
 
 /// Leader and own state of a replica, both in the hands of the test.
 struct FakeSource {
@@ -30,9 +37,9 @@
 }
 
 impl ConfirmSource for FakeSource {
-    async fn confirm(&self, _usage: Vec<TeamUsage>) -> Option<ConfirmedState> {
+    async fn confirm(&self, usage: Vec<TeamUsage>) -> Option<ConfirmedState> {
         let (answer, answered) = oneshot::channel();
-        let _ = self.asked.send(answer);
+        let _ = self.asked.send(AskedLeader { usage, answer });
         answered.await.ok().flatten()
     }
 
@@ -91,7 +98,7 @@
 
 fn answer(request: AskedLeader, version: u64) {
     let paces = Vec::new();
-    request.send(Some(ConfirmedState { version, paces })).expect("the board waits");
+    request.answer.send(Some(ConfirmedState { version, paces })).expect("the board waits");
 }
 
 /// Guards against confirmations of probes that arrived after the leader was asked: the answer of a leader, or a
@@ -152,7 +159,7 @@
     let probe = fixture.probe();
     for _ in 0..3 {
         let request = fixture.next_request().await;
-        request.send(None).expect("the board waits");
+        request.answer.send(None).expect("the board waits");
     }
     let request = fixture.next_request().await;
     assert_eq!(*fixture.rounds.borrow(), ConfirmedRound::default());
@@ -173,6 +180,38 @@
     assert_eq!(fixture.next_round().await, ConfirmedRound { last_probe: probe, version: 5 });
 }
 
+fn used(admitted: u32) -> TeamUsage {
+    TeamUsage { team: SharedName::from("team-1"), admitted, refused: 0 }
+}
+
+/// Guards against usage that is acknowledged to an entry without having been reported to the leader: usage of a round
+/// that failed, and usage that arrives while the leader is asked.
+#[tokio::test]
+async fn usage_reaches_the_leader_before_its_probe_is_confirmed() {
+    let mut fixture = BoardFixture::new();
+    fixture.own_version.send_replace(9);
+    let entries = [SharedName::from("entry-1"), SharedName::from("entry-2")];
+    let _ = fixture.board.record(&entries[0], &[used(3)], Micros::ZERO);
+    let request = fixture.next_request().await;
+    assert_eq!(request.usage, [used(3)]);
+    let last = fixture.board.record(&entries[1], &[used(4)], Micros::ZERO);
+    request.answer.send(None).expect("the board waits");
+
+    let request = fixture.next_request().await;
+    assert_eq!(request.usage, [used(7)]);
+    let late = fixture.board.record(&entries[0], &[used(5)], Micros::ZERO);
+    let pace = TeamPace { team: SharedName::from("team-1"), rate: Some(250_000) };
+    let state = ConfirmedState { version: 5, paces: vec![pace.clone()] };
+    request.answer.send(Some(state)).expect("the board waits");
+    assert_eq!(fixture.next_round().await.last_probe, last);
+    assert_eq!(fixture.board.paces_for(&entries[0], Micros::ZERO), [pace]);
+
+    let request = fixture.next_request().await;
+    assert_eq!(request.usage, [used(5)]);
+    answer(request, 5);
+    assert_eq!(fixture.next_round().await.last_probe, late);
+}
+
 /// Guards against probes without bound in memory while no leader answers.
 #[test]
 fn the_newest_of_many_pending_probes_are_kept() {
--- a/crates/directory/tests/confirmations.rs
+++ b/crates/directory/tests/confirmations.rs
@@ -2,7 +2,7 @@
 
 use {
     banyansill_core::{
-        directory::{KeyDigest, RouteDraft, TeamRule},
+        directory::{KeyDigest, RouteDraft, TeamLimit, TeamRule},
         names::SharedName,
     },
     banyansill_directory::{
@@ -37,6 +37,9 @@
 /// Interval of the test's probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Limit of the only team: 10 operations a second.
+const TEAM_LIMIT: TeamLimit = TeamLimit { rate: 10_000, burst: 10 };
+
 /// Protocol of targets, of which there are none here.
 #[derive(Clone)]
 struct NoProtocol;
@@ -103,6 +106,8 @@
     replies: Streaming<v1::FollowReply>,
     version: u64,
     last_probe: u64,
+    /// Paces of the last confirmation.
+    paces: Vec<v1::TeamPace>,
 }
 
 impl TestFollower {
@@ -128,12 +133,18 @@
         let first = v1::FollowRequest { entry: Some(entry), ..v1::FollowRequest::default() };
         requests.send(first).await.ok()?;
         let replies = client.follow(ReceiverStream::new(receiver)).await.ok()?.into_inner();
-        Some(Self { requests, replies, version: 0, last_probe: 0 })
+        Some(Self { requests, replies, version: 0, last_probe: 0, paces: Vec::new() })
     }
 
     async fn probe(&mut self) -> u64 {
+        self.report(Vec::new()).await
+    }
+
+    /// Sends a probe with usage.
+    async fn report(&mut self, usage: Vec<v1::TeamUsage>) -> u64 {
         self.last_probe += 1;
-        let probe = v1::FollowRequest { probe: self.last_probe, ..v1::FollowRequest::default() };
+        let probe =
+            v1::FollowRequest { probe: self.last_probe, usage, ..v1::FollowRequest::default() };
         self.requests.send(probe).await.expect("an open stream");
         self.last_probe
     }
@@ -149,6 +160,7 @@
                 let (probe, version) = (reply.confirmed_probe, reply.confirmed_version);
                 assert!(probe <= self.last_probe, "confirms a probe that was not sent");
                 assert!(version <= self.version, "confirms version {version} before its update");
+                self.paces = reply.paces;
                 return Some((probe, version));
             }
             None
@@ -174,7 +186,8 @@
 }
 
 fn draft(version: u64, keys: u64) -> RouteDraft {
-    let mut rule = TeamRule { team: SharedName::from("team-1"), keys: Vec::new(), limit: None };
+    let mut rule =
+        TeamRule { team: SharedName::from("team-1"), keys: Vec::new(), limit: Some(TEAM_LIMIT) };
     for key in 0..keys {
         rule.keys.push(KeyDigest::of(&key.to_be_bytes()));
     }
@@ -260,6 +273,33 @@
     stop_all(replicas).await;
 }
 
+/// Guards against usage that does not reach the leader through another replica, and paces that do not reach the followers
+/// of all replicas.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn usage_at_one_replica_paces_the_followers_of_all() {
+    let replicas = start(84, "confirm-usage").await;
+    apply(&replicas[0].1, 1, 3).await;
+    let mut followers = Vec::new();
+    for (address, _) in &replicas {
+        let mut follower = TestFollower::open(*address).await;
+        follower.confirmed_version().await;
+        assert!(follower.paces.is_empty(), "paced without usage: {:?}", follower.paces);
+        followers.push(follower);
+    }
+    let deadline = Instant::now() + PATIENCE;
+    // Many more operations than the limit and its tolerance, all at one replica.
+    let team = "team-1".to_owned();
+    let usage = v1::TeamUsage { team: team.clone(), admitted: 500, refused: 0 };
+    followers[1].report(vec![usage]).await;
+    for follower in &mut followers {
+        while !follower.paces.iter().any(|pace| pace.team == team && !pace.lifted) {
+            assert!(Instant::now() < deadline, "not paced: {:?}", follower.paces);
+            follower.confirmed_version().await;
+        }
+    }
+    stop_all(replicas).await;
+}
+
 /// Guards against a new leader that confirms before it has the acknowledged changes of its predecessor, and against
 /// followers that get no confirmation from it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
