feat(core): bucket of an entry out of touch starts at its last contact

Cause: a flood just before contact was lost took the credit and the bucket of an entry out of touch.

Change: unacknowledged operations are taken out of that bucket, and the credit is a quarter of the burst.

--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -14,7 +14,7 @@
 const DEMAND_MEMORY: Micros = Micros::from_millis(300);
 
 /// Time from an operation at an entry until a pace that reflects it is in force at all entries.
-const FEEDBACK_DELAY: f64 = 0.35;
+const FEEDBACK_DELAY: f64 = 0.25;
 
 /// Time in which the pace brings the level of a bucket to its target; a shorter one than the delay would oscillate.
 const LEVEL_HORIZON: f64 = 0.6;
--- a/crates/core/src/team_limit/limiter.rs
+++ b/crates/core/src/team_limit/limiter.rs
@@ -15,18 +15,21 @@
 /// Age of the newest confirmed probe from which an entry counts itself as out of touch: two lost probes.
 const CONTACT_TIMEOUT: Micros = Micros::from_millis(800);
 
-/// Time over which an entry averages its own demand, so that its share of the team's demand is known when contact is
-/// lost.
+/// Time over which an entry averages what it admits, so that its part of the team's rate is known when contact is lost.
 const USUAL_MEMORY: Micros = Micros::from_secs(5);
 
 /// Least credit of unacknowledged operations; a report takes less than half a second to be acknowledged.
 const CREDIT_FLOOR: f64 = 8.0;
 
-/// The credit is this part of the burst, divided by the square root of the number of entries.
-const CREDIT_SPREAD: f64 = 4.0;
+/// Part of the burst that an entry admits before it is acknowledged; a larger one would let a flood that begins when
+/// entries are cut off take a second burst.
+const CREDIT_BURST: f64 = 0.25;
 
-/// Seconds of the usual demand by which the credit is larger.
-const CREDIT_SECONDS: f64 = 1.0;
+/// Number of entries from which the credit falls with the square root of their number.
+const CREDIT_ENTRIES: f64 = 16.0;
+
+/// Seconds of its usual rate by which the credit of an entry is larger.
+const CREDIT_SECONDS: f64 = 2.0;
 
 /// A report is due when this part of the credit is unreported.
 const REPORT_PART: f64 = 0.125;
@@ -38,13 +41,13 @@
 const CREDIT_WAIT: Micros = Micros::from_millis(100);
 
 /// Operations that all entries out of touch admit together beyond their rate, whatever the limit.
-const ALONE_OPERATIONS: f64 = 20.0;
+const ALONE_OPERATIONS: f64 = 16.0;
 
 /// Seconds of the rate that a flood asks for while entries are out of touch: 4.7 times the rate for 3.2 s.
 const ALONE_FLOOD: f64 = 15.0;
 
 /// Seconds of the rate that all entries out of touch may admit of a flood that reaches each of them at most once.
-const ALONE_SPARSE: f64 = 3.0;
+const ALONE_SPARSE: f64 = 2.5;
 
 /// Part of the burst that all entries out of touch admit together beyond their rate.
 const ALONE_BURST: f64 = 0.8;
@@ -52,7 +55,7 @@
 /// The same for entries with a small demand, most of which use little of their part.
 const ALONE_SPARSE_BURST: f64 = 1.0;
 
-/// Part of its usual demand that an entry out of touch admits.
+/// Part of its usual rate that an entry out of touch admits.
 const ALONE_USUAL: f64 = 0.9;
 
 /// Part of the rate that is divided equally among entries out of touch, beside their usual demand.
@@ -61,7 +64,8 @@
 /// Part of the burst that all entries out of touch admit together if the team was near its limit.
 const ALONE_PACED_BURST: f64 = 0.2;
 
-/// Part of its last pace that an entry out of touch admits, since those in touch take over the rest.
+/// Part of its usual rate that an entry out of touch admits if the team was near its limit, since those in touch use the
+/// limit up.
 const ALONE_PACE: f64 = 0.5;
 
 /// Longest time to retry; the level of a bucket can't be foreseen longer.
@@ -83,6 +87,10 @@
 }
 
 impl AloneBucket {
+    fn new(capacity: f64, rate: f64, taken: f64, updated: Micros) -> Self {
+        Self { level: capacity - taken, capacity, rate, updated }
+    }
+
     fn refill(&mut self, now: Micros) {
         let gained = seconds(now.since(self.updated)) * self.rate;
         self.level = (self.level + gained).min(self.capacity.max(1.0));
@@ -94,6 +102,7 @@
 #[derive(Debug)]
 struct TeamState {
     limit: TeamLimit,
+    /// Operations that were admitted and acknowledged.
     usual: DemandRate,
     admitted: u32,
     refused: u32,
@@ -126,7 +135,7 @@
     }
 
     fn credit(&self, entries: f64, now: Micros) -> f64 {
-        let spread = (CREDIT_SPREAD / entries.sqrt()).min(1.0);
+        let spread = CREDIT_BURST * (CREDIT_ENTRIES / entries).sqrt().min(1.0);
         let usual = self.usual.at(USUAL_MEMORY, now);
         (self.limit.burst as f64 * spread).max(CREDIT_FLOOR) + usual * CREDIT_SECONDS
     }
@@ -152,9 +161,9 @@
     }
 
     /// Admits by the entry's own bucket.
-    fn admit_alone(&mut self, entries: f64, now: Micros) -> Result<(), Micros> {
+    fn admit_alone(&mut self, entries: f64, contact: Micros, now: Micros) -> Result<(), Micros> {
         if self.alone.is_none() {
-            self.alone = Some(self.open_alone(entries, now));
+            self.alone = Some(self.open_alone(entries, contact, now));
         }
         let Some(bucket) = &mut self.alone else {
             return Ok(());
@@ -170,25 +179,21 @@
         Err(self.retry(wait))
     }
 
-    /// Returns the bucket of an entry that lost contact: its usual demand, a part of the rate, and a credit.
-    fn open_alone(&self, entries: f64, now: Micros) -> AloneBucket {
+    /// Returns the bucket of an entry that lost contact, as of its last contact: its usual rate, a part of the team's
+    /// rate, and a credit. Operations that are unacknowledged are taken out of it.
+    fn open_alone(&self, entries: f64, contact: Micros, now: Micros) -> AloneBucket {
         let usual = self.usual.at(USUAL_MEMORY, now);
         let burst = self.limit.burst as f64 / entries;
+        let taken = f64::from(self.unacknowledged);
         if self.share < 1.0 {
-            let capacity = burst * ALONE_PACED_BURST;
-            return AloneBucket {
-                level: capacity,
-                capacity,
-                rate: usual * self.share * ALONE_PACE,
-                updated: now,
-            };
+            return AloneBucket::new(burst * ALONE_PACED_BURST, usual * ALONE_PACE, taken, contact);
         }
         let flood = (self.rate() * ALONE_FLOOD).max(1.0);
         let capacity = (burst * (ALONE_BURST + ALONE_SPARSE_BURST / (1.0 + usual)))
             .max(ALONE_OPERATIONS / entries)
             .max(((ALONE_OPERATIONS + self.rate() * ALONE_SPARSE) / flood).min(1.0));
         let rate = usual * ALONE_USUAL + self.rate() * ALONE_PART / entries;
-        AloneBucket { level: capacity, capacity, rate, updated: now }
+        AloneBucket::new(capacity, rate, taken, contact)
     }
 
     /// Ends the time out of touch.
@@ -274,11 +279,8 @@
         let verdict = if in_touch {
             state.admit_in_touch(entries, now)
         } else {
-            state.admit_alone(entries, now)
+            state.admit_alone(entries, self.contact, now)
         };
-        if in_touch {
-            state.usual.record(1.0, USUAL_MEMORY, now);
-        }
         if verdict.is_ok() {
             state.admitted = state.admitted.saturating_add(1);
             state.unacknowledged = state.unacknowledged.saturating_add(1);
@@ -329,6 +331,8 @@
                     continue;
                 };
                 state.unacknowledged = state.unacknowledged.saturating_sub(used.admitted);
+                // What is unacknowledged may be a flood that control has not answered yet, so it is not usual.
+                state.usual.record(f64::from(used.admitted), USUAL_MEMORY, now);
             }
         }
         for pace in paces {
