fix(gateway): free the slot while all connections are in use, exchange connections one after the other

Cause, seen in teams_share_few_connections (8 teams on 6 connections, 13 to 23 replies of a team in 4 s instead of about 100): a request that waited for a connection held a slot that the transactions with the connections needed; and a connection that was exchanged for another team's counted twice at the target, which refused it (target-refused) and made the pool back off for 200 ms.

Change: the slot is released during the wait; the old connection ends before the new one opens; two connections of a target stay free.

--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -24,6 +24,10 @@
 /// Connections planned for an entry that relays for others; bounds the number of relays of a target.
 const CONNECTIONS_PER_RELAY: u32 = 3;
 
+/// Connections of a target that stay free where connections serve one team each: one that is exchanged for another
+/// team's counts twice for a moment, and control has one of its own.
+const EXCHANGE_RESERVE: u32 = 2;
+
 /// Maximum number of connections of one entry to one target; more would only move the queue into the target.
 const MAX_DIRECT_CONNECTIONS: u32 = 8;
 
@@ -77,12 +81,11 @@
     rule: ConnectionRule,
     entries: &'a [ProcessHost],
 ) -> DirectEntries<'a> {
-    let ConnectionRule { connections, by_team } = rule;
     let TargetReport { target, zone, .. } = report;
-    let usable = usable_connections(is_primary, connections);
+    let usable = usable_connections(is_primary, rule);
     let count = u32::try_from(entries.len().max(1)).unwrap_or(u32::MAX);
     let per_entry = usable / count;
-    if per_entry >= MIN_DIRECT_CONNECTIONS && !by_team {
+    if per_entry >= MIN_DIRECT_CONNECTIONS && !rule.by_team {
         return DirectEntries::All(per_entry.min(MAX_DIRECT_CONNECTIONS));
     }
     let mut relays: Vec<&ProcessHost> =
@@ -96,9 +99,11 @@
     DirectEntries::Relays(relays)
 }
 
-const fn usable_connections(is_primary: bool, connections: u32) -> u32 {
+const fn usable_connections(is_primary: bool, rule: ConnectionRule) -> u32 {
     let percent = if is_primary { PRIMARY_USED_PERCENT } else { REPLICA_USED_PERCENT };
-    connections * percent / 100
+    let usable = rule.connections * percent / 100;
+    let spare = rule.connections.saturating_sub(EXCHANGE_RESERVE);
+    if rule.by_team && usable > spare { spare } else { usable }
 }
 
 /// Returns the share of the entry `own` in a target's connections.
@@ -117,7 +122,7 @@
         DirectEntries::Relays(relays) => relays,
     };
     let count = u32::try_from(relays.len().max(1)).unwrap_or(u32::MAX);
-    let per_relay = usable_connections(is_primary, rule.connections) / count;
+    let per_relay = usable_connections(is_primary, rule) / count;
     if relays.is_empty() || relays.iter().any(|entry| entry.host == own.host) {
         return ConnectionShare::Direct(per_relay.clamp(1, MAX_DIRECT_CONNECTIONS));
     }
--- a/crates/core/src/team_limit/collector.rs
+++ b/crates/core/src/team_limit/collector.rs
@@ -66,5 +66,5 @@
     }
 
     /// Forgets an entry whose stream ended.
-    pub fn remove(&mut self, _entry: &SharedName) {}
+    pub const fn remove(&mut self, _entry: &SharedName) {}
 }
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -28,6 +28,9 @@
 /// to wait for one.
 const START_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum wait for the end of a connection that makes room for another one.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Back-off after a target refused a connection because it has too many.
 const REFUSED_BACKOFF: Micros = Micros::from_millis(200);
 
@@ -70,10 +73,10 @@
 }
 
 /// Path of a new connection.
-#[derive(Clone, Debug)]
-pub(super) enum ConnectPath {
-    /// This entry connects to the target.
-    Own,
+#[derive(Debug)]
+pub(super) enum ConnectPath<P> {
+    /// This entry connects to the target, once it has closed this connection of another team.
+    Own(Option<PooledConnection<P>>),
     /// These entries lend one of their connections.
     Relays(Vec<ProcessHost>),
     /// As `Relays`, because this entry cannot reach the target.
@@ -117,7 +120,7 @@
     pub(super) async fn connect(
         self: &Rc<Self>,
         options: &LeaseOptions<'_>,
-        path: ConnectPath,
+        path: ConnectPath<P>,
     ) -> Result<PooledConnection<P>, LeaseFailure> {
         if matches!(path, ConnectPath::Detour(_)) {
             self.probe();
@@ -133,7 +136,13 @@
         };
         tokio::task::spawn_local(async move {
             let result = match path {
-                ConnectPath::Own => pool.open_connection(&request).await,
+                ConnectPath::Own(evicted) => {
+                    if let Some(evicted) = evicted {
+                        // The target counts both connections until it has dealt with the end of the first.
+                        let _ = timeout(EVICTION_TIMEOUT, evicted.end()).await;
+                    }
+                    pool.open_connection(&request).await
+                }
                 ConnectPath::Relays(entries) => pool.open_relayed(&entries, &request).await,
                 ConnectPath::Detour(entries) => pool.open_detour(&entries, &request).await,
             };
@@ -153,7 +162,7 @@
         &self,
         options: &LeaseOptions<'_>,
         ticket: SlotTicket,
-    ) -> Option<ConnectPath> {
+    ) -> Option<ConnectPath<P>> {
         let mut state = self.state.borrow_mut();
         state.reservations.remove(&ticket);
         if state.path(self.now(), options.detour) == Some(TargetPath::Detour) {
@@ -184,12 +193,10 @@
             return Some(ConnectPath::Relays(relays));
         }
         state.open += 1;
-        drop(state);
-        if let Some(evicted) = evicted {
+        if evicted.is_some() {
             self.core.count("connections.ended.evicted");
-            tokio::task::spawn_local(evicted.end());
         }
-        Some(ConnectPath::Own)
+        Some(ConnectPath::Own(evicted))
     }
 
     /// Opens an own connection that `PoolState::open` already counts.
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -236,9 +236,9 @@
         self: &Rc<Self>,
         options: &LeaseOptions<'_>,
     ) -> Result<TargetLease<P>, LeaseFailure> {
-        let slot =
-            self.wait_for_slot(&options.slot, SlotKind::Fresh { detour: options.detour }).await?;
         loop {
+            let kind = SlotKind::Fresh { detour: options.detour };
+            let slot = self.wait_for_slot(&options.slot, kind).await?;
             if let Some(mut pooled) = self.take_idle(slot.ticket, options) {
                 let idle = self.now().since(pooled.last_used);
                 if idle < options.trusted_idle || self.is_alive(&mut pooled, options).await {
@@ -247,6 +247,8 @@
                 self.put_back(PooledConnection::closed(self.protocol().clone()));
             }
             let Some(path) = self.connect_path(options, slot.ticket) else {
+                // Connections in use may belong to transactions whose next statements need the slot.
+                drop(slot);
                 self.wait_for_return(options.slot.deadline).await?;
                 continue;
             };
