fix(core): leave half of a target's connections free where each serves one team

Cause: connections of teams stay open while idle, up to 85% of what a primary accepts.

Change: entries use at most 50% of a target's connections there.

--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -24,9 +24,9 @@
 /// Connections planned for an entry that relays for others; bounds the number of relays of a target.
 const CONNECTIONS_PER_RELAY: u32 = 3;
 
-/// Connections of a target that stay free where connections serve one team each: one that is exchanged for another
-/// team's counts twice for a moment, and control has one of its own.
-const EXCHANGE_RESERVE: u32 = 2;
+/// Share of a target's connections that entries use where each serves one team, in percent. They stay open while idle,
+/// so that the entries that restart after a power loss need as many again until the target drops the lost ones.
+const TEAM_USED_PERCENT: u32 = 50;
 
 /// Maximum number of connections of one entry to one target; more would only move the queue into the target.
 const MAX_DIRECT_CONNECTIONS: u32 = 8;
@@ -100,10 +100,12 @@
 }
 
 const fn usable_connections(is_primary: bool, rule: ConnectionRule) -> u32 {
-    let percent = if is_primary { PRIMARY_USED_PERCENT } else { REPLICA_USED_PERCENT };
-    let usable = rule.connections * percent / 100;
-    let spare = rule.connections.saturating_sub(EXCHANGE_RESERVE);
-    if rule.by_team && usable > spare { spare } else { usable }
+    let percent = match (rule.by_team, is_primary) {
+        (true, _) => TEAM_USED_PERCENT,
+        (false, true) => PRIMARY_USED_PERCENT,
+        (false, false) => REPLICA_USED_PERCENT,
+    };
+    rule.connections * percent / 100
 }
 
 /// Returns the share of the entry `own` in a target's connections.
