feat(core): refuse what cannot be served and leave out targets that serve reads badly

Requests that waited in a queue which starts none, because idle transactions hold all connections or the target hangs, were held until their deadline, and refused requests were all told the same time. A queue now rechecks a waiting request, names refused requests a time behind those of the same or a higher priority, and statements without a leader wait while a replacement may finish and are refused once the outage outlasts one. A deadline that passes before any part of a statement was sent is answered as not run. OutlierDetector leaves a target out of reads after silent or failed answers, for at most half of the replicas, and tries it again with one read at a time; BEGIN on a silent target is sent again.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -183,6 +183,10 @@
     ReadHedged = 606, "read hedged";
     /// A statement was refused at once because it would have waited past its deadline.
     SlotRefused = 607, "slot refused";
+    /// A target is left out of reads because it serves them worse than the others of its group.
+    TargetLeftOut = 608, "target left out";
+    /// A target that was left out serves reads again.
+    TargetReturned = 609, "target returned";
 }
 
 impl EventNumber {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,8 +8,10 @@
 mod contact;
 mod freshness;
 mod health;
+mod leader_outage;
 mod limit;
 mod mark_source;
+mod outlier;
 mod placement;
 mod relay;
 mod share;
@@ -20,8 +22,10 @@
     contact::{ContactPace, ContactPlan, ContactStep, ReplicaHistory},
     freshness::{FreshnessLog, FreshnessMark},
     health::{HealthChange, TargetHealth},
+    leader_outage::{LeaderOutage, OutageStep},
     limit::AdaptiveLimit,
     mark_source::{MarkSource, mark_is_due, mark_source},
+    outlier::{OutlierChange, OutlierDetector, TargetUse, apply_target_use},
     placement::{Distance, ReadCandidate, order_candidates},
     relay::{RelayAttempt, RelayHealth, RelaySelection},
     share::{
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -7,12 +7,16 @@
 
 mod estimate;
 mod order;
+mod retry_plan;
+mod stall;
 
 pub use estimate::ExecutionEstimates;
 
 use {
     crate::{collections::FastMap, names::SharedName, time::Micros},
     order::{WaitOrder, WorkClass},
+    retry_plan::RetryPlan,
+    stall::QueueStall,
 };
 
 /// Ordering of waiting requests; only measurements use an order other than `ShortFirst`.
@@ -223,11 +227,10 @@
     /// Moving average of the slots that short work needs, as of `demand_at`.
     demand: f64,
     demand_at: Micros,
+    stall: QueueStall,
+    retry_plan: RetryPlan,
 }
 
-/// Minimum and maximum `retry_after` of a refusal.
-const RETRY_AFTER_RANGE: (Micros, Micros) = (Micros::from_millis(20), Micros::from_secs(10));
-
 /// Number of tracked applications above which those without waiting requests are evicted.
 const TRACKED_SHARES_LIMIT: usize = 1_024;
 
@@ -247,6 +250,8 @@
             missed: Vec::new(),
             demand: 0.0,
             demand_at: Micros::ZERO,
+            stall: QueueStall::default(),
+            retry_plan: RetryPlan::default(),
         }
     }
 
@@ -317,6 +322,13 @@
     /// With `fresh` false, only requests that continue a transaction may start, because no idle
     /// connection is left for others.
     pub fn start_next(&mut self, now: Micros, fresh: bool) -> Option<SlotStart> {
+        let start = self.find_start(now, fresh);
+        let started = start.is_some_and(|start| !start.continues_transaction);
+        self.record_stall(started, fresh, now);
+        start
+    }
+
+    fn find_start(&mut self, now: Micros, fresh: bool) -> Option<SlotStart> {
         if self.running.len() >= self.settings.slots as usize {
             return None;
         }
@@ -455,7 +467,7 @@
     }
 
     fn check_admission(
-        &self,
+        &mut self,
         request: &SlotRequest,
         estimate: Micros,
         class: WorkClass,
@@ -479,8 +491,8 @@
         if needed <= span {
             return Ok(());
         }
-        let excess = needed.since(span);
-        let retry_after = excess.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+        let slots = self.settings.slots;
+        let retry_after = self.retry_plan.assign(request.priority, estimate, needed, slots, now);
         Err(QueueRefusal::WouldMissDeadline { retry_after })
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -71,6 +71,15 @@
         Self { end, failure: StatementFailure::new(kind), position: None }
     }
 
+    /// Returns the failed attempt of a statement whose deadline passed; `sent` is whether any part of it was sent.
+    pub(crate) const fn timed_out(sent: bool) -> Self {
+        if sent {
+            Self::new(AttemptEnd::Lost, FailureKind::RunTimeout)
+        } else {
+            Self::new(AttemptEnd::NotSent, FailureKind::QueueTimeout)
+        }
+    }
+
     /// Returns whether the request was refused because the target's queue is too long.
     pub(crate) fn is_refusal(&self) -> bool {
         self.failure.kind == FailureKind::Overloaded && self.end == AttemptEnd::NotSent
@@ -107,6 +116,9 @@
 
 /// Runs a statement on a leased connection; the target's log must have reached `floor`, if one is given.
 ///
+/// Sets `sent` before any part of the statement is sent, so that the caller of a statement that never left the entry is
+/// not told that its outcome is unknown.
+///
 /// # Errors
 ///
 /// Returns how the attempt ended if no complete response arrived.
@@ -115,14 +127,19 @@
     id: &Bytes,
     body: &StatementBody,
     floor: Option<LogPosition>,
+    sent: &mut bool,
 ) -> Result<StatementAnswer, AttemptEnd>
 where
     P: StatementProtocol,
 {
     match body {
-        StatementBody::Text(text) => lease.run(TargetRequest::Run { id, floor, text }).await,
+        StatementBody::Text(text) => {
+            *sent = true;
+            lease.run(TargetRequest::Run { id, floor, text }).await
+        }
         StatementBody::Prepared { shape, arguments } => {
             let name = lease.pooled.prepare(shape).await?;
+            *sent = true;
             let request = TargetRequest::Execute { id, floor, name: &name, arguments };
             let answer = lease.run(request).await?;
             if matches!(answer.outcome, Err((TargetError::UnknownStatement, _))) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
         relay::RelayClients,
         settings::ZoneMap,
         team_access::TeamAccess,
+        uneven::{GroupOutages, GroupOutliers},
     },
     banyansill_core::{
         collections::FastMap,
@@ -150,6 +151,11 @@
         }
     }
 
+    /// Returns the time of the newest proof that a primary leads the group.
+    pub(crate) fn newest_proof(&self) -> Option<Micros> {
+        self.log.borrow().newest().map(|mark| mark.sent_at)
+    }
+
     /// Waits until a mark is recorded, at most for `max_wait`.
     async fn wait_for_record(&self, max_wait: Duration) {
         // Without a mark by then, the read runs at the primary.
@@ -182,6 +188,10 @@
     table: watch::Receiver<Arc<RoutingTable>>,
     pools: RefCell<FastMap<SharedName, Rc<TargetPool<P>>>>,
     retries: Cell<RetryBudget>,
+    /// Targets that serve reads worse than the others of their group.
+    pub(crate) outliers: RefCell<GroupOutliers>,
+    /// Groups without a reachable leader.
+    pub(crate) outages: RefCell<GroupOutages>,
     /// Wakes the task that refreshes marks when a group has no recent one.
     pub(crate) mark_needed: Notify,
 }
@@ -201,6 +211,8 @@
             table,
             pools: RefCell::default(),
             retries: Cell::new(RetryBudget::default()),
+            outliers: RefCell::default(),
+            outages: RefCell::default(),
             mark_needed: Notify::new(),
         })
     }
@@ -387,17 +399,11 @@
     }
 
     /// Waits briefly for a change of the routing table, at most until `deadline`.
-    ///
-    /// Returns false if the deadline has passed.
-    pub(crate) async fn wait_for_leader(&self, deadline: Micros) -> bool {
+    pub(crate) async fn wait_for_change(&self, deadline: Micros) {
         let left = deadline.since(self.now()).as_duration();
-        if left.is_zero() {
-            return false;
-        }
         let mut table = self.table.clone();
         table.mark_unchanged();
         let _ = timeout(PRIMARY_RETRY_INTERVAL.min(left), table.changed()).await;
-        true
     }
 
     /// Waits for `pause`; returns false without waiting if that exceeds `deadline`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,5 +15,6 @@
 mod session;
 pub mod settings;
 mod team_access;
+mod uneven;
 
 pub use process::{GatewayError, GatewayHandle, spawn};
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -440,10 +440,35 @@
             (SlotGuard::new(Rc::clone(self), ticket), granted)
         };
         self.grant_slots();
-        let left = options.deadline.since(now).as_duration();
-        match timeout(left, granted).await {
-            Ok(Ok(())) => Ok(guard),
-            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
+        self.wait_for_grant(options, guard, granted).await
+    }
+
+    /// Waits for the grant of a slot; gives up as soon as the queue is not expected to grant it in time.
+    async fn wait_for_grant(
+        &self,
+        options: &SlotOptions<'_>,
+        guard: SlotGuard<P>,
+        mut granted: oneshot::Receiver<()>,
+    ) -> Result<SlotGuard<P>, LeaseFailure> {
+        loop {
+            let now = self.now();
+            let checked = self.state.borrow_mut().queue.recheck(guard.ticket, now);
+            let check_at = match checked {
+                Ok(check_at) => check_at.min(options.deadline),
+                Err(refused) => {
+                    let failure = lease_failure(refused);
+                    self.log_refusal(options, &failure, now);
+                    return Err(failure);
+                }
+            };
+            match timeout(check_at.since(now).as_duration(), &mut granted).await {
+                Ok(Ok(())) => return Ok(guard),
+                Ok(Err(_)) => return Err(LeaseFailure::new(FailureKind::QueueTimeout)),
+                Err(_) if self.now() >= options.deadline => {
+                    return Err(LeaseFailure::new(FailureKind::QueueTimeout));
+                }
+                Err(_) => {}
+            }
         }
     }
 
--- a/crates/gateway/src/read.rs
+++ b/crates/gateway/src/read.rs
@@ -81,16 +81,18 @@
     };
     let mut lease = pool.lease(&lease_request).await.map_err(FailedAttempt::no_connection)?;
     let left = call.deadline.since(pool.now()).as_duration();
-    let result = timeout(left, run(pool, &mut lease, call)).await;
+    let mut sent = false;
+    let result = timeout(left, run(pool, &mut lease, call, &mut sent)).await;
     // Awaits an outstanding response and rolls back an open transaction.
     lease.clean_up();
-    result.unwrap_or_else(|_| Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout)))
+    result.unwrap_or_else(|_| Err(FailedAttempt::timed_out(sent)))
 }
 
 async fn run<P>(
     pool: &TargetPool<P>,
     lease: &mut TargetLease<P>,
     call: &ReadCall,
+    sent: &mut bool,
 ) -> Result<StatementAnswer, FailedAttempt>
 where
     P: StatementProtocol,
@@ -108,7 +110,7 @@
         }
     };
     let sent_at = pool.now();
-    let answer = attempt_result(run_body(lease, &call.id, &call.body, floor).await)?;
+    let answer = attempt_result(run_body(lease, &call.id, &call.body, floor, sent).await)?;
     if call.proof == FreshnessProof::Primary {
         pool.record_primary_position(sent_at, answer.position);
     }
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -24,7 +24,7 @@
     },
     banyansill_target::{StatementAccess, StatementProtocol},
     bytes::Bytes,
-    std::{rc::Rc, time::Duration},
+    std::{pin::pin, rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::timeout},
 };
 
@@ -74,9 +74,10 @@
             let table = self.gateway.table();
             let Some(pool) = self.gateway.leader(&table, &request.route.group, &refused) else {
                 refused.clear();
-                if !self.gateway.wait_for_leader(request.deadline).await {
-                    return Err(last);
-                }
+                let (deadline, RouteRule { group, priority, .. }) =
+                    (request.deadline, &*request.route);
+                let waited = self.gateway.wait_for_leader(group, deadline, *priority).await;
+                waited.map_err(|retry_after| StatementFailure { retry_after, ..last.clone() })?;
                 continue;
             };
             trace.attempts += 1;
@@ -124,11 +125,14 @@
         }
         let sent_at = self.gateway.now();
         let left = request.deadline.since(sent_at).as_duration();
-        match timeout(left, run_body(&mut lease, &request.id, &request.body, None)).await {
+        let mut sent = false;
+        let running = run_body(&mut lease, &request.id, &request.body, None, &mut sent);
+        let result = timeout(left, running).await;
+        match result {
             Ok(result) => attempt_result(result),
             Err(_) => {
                 lease.clean_up();
-                Err(FailedAttempt::new(AttemptEnd::Lost, FailureKind::RunTimeout))
+                Err(FailedAttempt::timed_out(sent))
             }
         }
     }
@@ -141,7 +145,7 @@
         loop {
             let floor = self.wait_for_read_floor(&request.route, request.deadline).await;
             let mut order = match floor {
-                Some(_) => self.read_order(&request.route, floor),
+                Some(_) => self.read_order(&request.route, floor, true),
                 None => Vec::new(),
             };
             trace.floor = floor;
@@ -224,17 +228,20 @@
         }
     }
 
-    /// Returns the pools that may serve a read, the best one first.
+    /// Returns the pools that may serve a read, the best one first; with `probe`, one that was left out may be tried
+    /// again.
     pub(super) fn read_order(
         &self,
         route: &RouteRule,
         floor: Option<LogPosition>,
+        probe: bool,
     ) -> Vec<Rc<TargetPool<P>>> {
         let table = self.gateway.table();
         let Some(group) = table.groups.get(&route.group) else { return Vec::new() };
         let (pools, mut candidates) = self.gateway.read_candidates(&table, group);
         candidates.retain(|candidate| candidate.reachable && !candidate.lacks(floor));
         order_candidates(&mut candidates, floor);
+        self.gateway.apply_outliers(&route.group, &pools, &mut candidates, probe);
         candidates.iter().map(|candidate| Rc::clone(&pools[candidate.index])).collect()
     }
 
@@ -295,6 +302,8 @@
     }
 
     /// Starts a read in its own task, which runs to its end even if its result is no longer awaited.
+    ///
+    /// A target that is silent for too long is recorded before the read ends, which may be only at its deadline.
     fn spawn_read(
         &self,
         pool: &Rc<TargetPool<P>>,
@@ -303,7 +312,18 @@
     ) -> JoinHandle<AttemptResult> {
         let pool = Rc::clone(pool);
         let call = self.read_call(request, FreshnessProof::Position(floor));
-        tokio::task::spawn_local(async move { read_on(&pool, &call).await })
+        let gateway = Rc::clone(&self.gateway);
+        tokio::task::spawn_local(async move {
+            let begun = gateway.now();
+            let limit = gateway.silence_limit(&pool).min(call.deadline.since(begun));
+            let mut reading = pin!(read_on(&pool, &call));
+            let Ok(result) = timeout(limit.as_duration(), &mut reading).await else {
+                gateway.record_read_outcome(&pool, None);
+                return reading.await;
+            };
+            gateway.record_read(&pool, &result, gateway.now().since(begun));
+            result
+        })
     }
 
     fn read_call(&self, request: &StatementRequest, proof: FreshnessProof) -> ReadCall {
@@ -344,7 +364,10 @@
             let table = self.gateway.table();
             let Some(pool) = self.gateway.leader(&table, &request.route.group, &refused) else {
                 refused.clear();
-                if !self.gateway.wait_for_leader(primary_deadline).await {
+                let RouteRule { group, priority, .. } = &*request.route;
+                let waited = self.gateway.wait_for_leader(group, primary_deadline, *priority).await;
+                if let Err(retry_after) = waited {
+                    last.failure.retry_after = retry_after;
                     return Err(last);
                 }
                 continue;
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -9,13 +9,14 @@
     },
     crate::{
         attempt::{StatementFailure, run_body},
-        pool::TargetLease,
+        pool::{TargetLease, TargetPool},
     },
     banyansill_core::{
         directory::{ReadRule, RouteRule},
         event::EventNumber,
         failure::FailureKind,
         gateway::{AttemptEnd, TargetError},
+        position::LogPosition,
         time::Micros,
         transaction::TransactionStatus,
     },
@@ -36,6 +37,13 @@
 /// Multiple of the average latency after which a statement of a transaction counts as lost.
 const LOST_LATENCY_FACTOR: u64 = 12;
 
+/// Minimum time without a response after which BEGIN is sent on another connection; a target that hangs in part of its
+/// requests would otherwise hold the caller until its deadline.
+const MIN_BEGIN_TIMEOUT: Micros = Micros::from_millis(300);
+
+/// Multiple of the average latency after which BEGIN is sent on another connection.
+const BEGIN_LATENCY_FACTOR: u64 = 6;
+
 /// Delay before a statement of a transaction is sent again that a full target refused.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -109,9 +117,9 @@
             let table = self.gateway.table();
             let Some(pool) = self.gateway.leader(&table, &route.group, &refused) else {
                 refused.clear();
-                if !self.gateway.wait_for_leader(deadline).await {
-                    return Err(last);
-                }
+                let RouteRule { group, priority, .. } = &**route;
+                let waited = self.gateway.wait_for_leader(group, deadline, *priority).await;
+                waited.map_err(|retry_after| StatementFailure { retry_after, ..last.clone() })?;
                 continue;
             };
             let lease_request = self.lease_request(route, deadline, TRUSTED_IDLE, (true, true));
@@ -126,7 +134,8 @@
                 let not_sent = |_| StatementFailure::new(FailureKind::Unreachable);
                 lease.pooled.apply_values(&self.values).await.map_err(not_sent)?;
                 let sent_at = self.gateway.now();
-                let answer = lease.begin(false, None).await.map_err(|end| match end {
+                let begun = begin_in_time(&pool, &mut lease, false, None).await;
+                let answer = begun.map_err(|end| match end {
                     AttemptEnd::Reported(error) => StatementFailure::new(error.failure()),
                     _ => StatementFailure::new(FailureKind::Unreachable),
                 })?;
@@ -156,14 +165,18 @@
                 // The primary's own response proves its freshness.
                 return self.open_on_primary(route, deadline).await;
             };
-            for pool in self.read_order(route, Some(floor)) {
+            for pool in self.read_order(route, Some(floor), false) {
                 let lease_request =
                     self.lease_request(route, deadline, TRUSTED_IDLE, (true, false));
                 let left = deadline.since(self.gateway.now()).as_duration();
                 let opened = async {
                     let mut lease = pool.lease(&lease_request).await.ok()?;
                     lease.pooled.apply_values(&self.values).await.ok()?;
-                    lease.begin(true, Some(floor)).await.ok()?;
+                    let begun = begin_in_time(&pool, &mut lease, true, Some(floor)).await;
+                    if matches!(begun, Err(AttemptEnd::Lost)) {
+                        self.gateway.record_read_outcome(&pool, None);
+                    }
+                    begun.ok()?;
                     lease.release_slot();
                     Some(lease)
                 };
@@ -178,9 +191,10 @@
             if let Ok(lease) = self.open_on_primary(route, limit).await {
                 return Ok(lease);
             }
-            if !self.gateway.wait_for_leader(deadline).await {
+            if self.gateway.now() >= deadline {
                 return Err(StatementFailure::new(FailureKind::TooStale));
             }
+            self.gateway.wait_for_change(deadline).await;
         }
     }
 
@@ -203,8 +217,13 @@
             let latency = open.lease.pool().health().latency();
             let lost_timeout = Micros(latency.0 * LOST_LATENCY_FACTOR).max(MIN_LOST_TIMEOUT);
             let left = request.deadline.since(self.gateway.now()).min(lost_timeout).as_duration();
-            let attempt =
-                timeout(left, run_body(&mut open.lease, &request.id, &request.body, None)).await;
+            // Nothing of a transaction is kept before its commit, so it does not matter what was sent.
+            let mut sent = false;
+            let attempt = timeout(
+                left,
+                run_body(&mut open.lease, &request.id, &request.body, None, &mut sent),
+            )
+            .await;
             let answer = match attempt {
                 Ok(Ok(answer)) => answer,
                 // Nothing was committed, so the target rolls back when the connection ends.
@@ -397,3 +416,22 @@
         );
     }
 }
+
+/// Begins a transaction; gives up early if the target is silent, since nothing of the transaction was sent.
+///
+/// # Errors
+///
+/// Returns how the attempt ended; [`AttemptEnd::Lost`] if the target was silent.
+async fn begin_in_time<P>(
+    pool: &TargetPool<P>,
+    lease: &mut TargetLease<P>,
+    read_only: bool,
+    floor: Option<LogPosition>,
+) -> Result<StatementAnswer, AttemptEnd>
+where
+    P: StatementProtocol,
+{
+    let limit = Micros(pool.health().latency().0 * BEGIN_LATENCY_FACTOR).max(MIN_BEGIN_TIMEOUT);
+    let begun = timeout(limit.as_duration(), lease.begin(read_only, floor)).await;
+    begun.unwrap_or(Err(AttemptEnd::Lost))
+}
