feat(gateway): send a silent read again to the same target, no relay attempt that ends too late

While replicas are behind, the primary is the only target of a read; when it hung in half of its requests, reads waited there until their deadline, and a second attempt at a replica that was behind did not help. A read without an answer now goes to the silent target again if the next one cannot serve it, within the budget of retries and only into a free slot. A relayed request is no longer sent when less than 60 ms are left: its refusal came after the deadline, and the caller was told that the outcome is unknown.

--- a/crates/core/src/gateway/relay.rs
+++ b/crates/core/src/gateway/relay.rs
@@ -29,6 +29,10 @@
 /// of a core.
 const RESPONSE_TIMEOUT: Micros = Micros::from_millis(200);
 
+/// Minimum time for an attempt: regions are 20 ms apart. With less, the deadline passes before the entry can tell that it
+/// refused the request, and the caller would be told that its outcome is unknown.
+const MIN_ATTEMPT_TIME: Micros = Micros::from_millis(60);
+
 /// Entries that recently did not respond to a relay request.
 #[derive(Clone, Debug, Default)]
 pub struct RelayHealth {
@@ -99,7 +103,7 @@
     /// Designed for more transactions than one entry has connections to relay, and for entries that lose power
     /// together with the connections that they relay.
     pub fn next_attempt(&mut self, left: Micros) -> Option<RelayAttempt> {
-        if self.refusals == 0 || left == Micros::ZERO {
+        if self.refusals == 0 || left < MIN_ATTEMPT_TIME {
             return None;
         }
         let entry = self.order.get(self.next_index)?.clone();
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -422,6 +422,17 @@
     assert!(late[0] * 4 < late[1], "late: {} with several relays, {} with one", late[0], late[1]);
 }
 
+// Guards against a request that is sent to another entry so late that its refusal cannot arrive before the deadline: its
+// caller was told that the outcome is unknown, although no target had received it.
+#[test]
+fn relays_are_not_asked_too_late() {
+    let hosts: Vec<ProcessHost> = (0..3).map(|number| host(&format!("l{number}"), "a")).collect();
+    let mut selection = RelayHealth::default().select(&hosts, false, ms(0));
+    assert!(selection.next_attempt(ms(100)).is_some(), "time for a round trip between regions");
+    selection.record_refusal();
+    assert!(selection.next_attempt(ms(40)).is_none(), "a round trip takes 40 ms");
+}
+
 // Guards against requests that each wait for entries that have lost power.
 #[test]
 fn unresponsive_relays_are_tried_last() {
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -154,7 +154,8 @@
                 trace.attempts += 1;
                 trace.target = Some(pool.target.clone());
                 let second = order.first().cloned();
-                let attempt = self.read_hedged(&pool, second, request, floor, trace).await;
+                let call = self.read_call(request, FreshnessProof::Position(floor));
+                let attempt = self.read_hedged(&pool, second, call, trace).await;
                 let failed = match attempt {
                     Ok(answer) => return Ok(answer),
                     Err(failed) => failed,
@@ -245,73 +246,72 @@
         candidates.iter().map(|candidate| Rc::clone(&pools[candidate.index])).collect()
     }
 
-    /// Sends a read to one target, and to a second one too if the first takes unusually long to respond.
+    /// Sends a read to one target, and a second time if the response takes unusually long: to `second`, or else to the
+    /// same target, which may hang in part of its requests only.
+    ///
+    /// Designed for targets that lose or hang in some reads while they have room; a full target is sent no second read.
     async fn read_hedged(
         &self,
         pool: &Rc<TargetPool<P>>,
         second: Option<Rc<TargetPool<P>>>,
-        request: &StatementRequest,
-        floor: LogPosition,
+        call: ReadCall,
         trace: &mut StatementTrace,
     ) -> AttemptResult {
-        let mut first = self.spawn_read(pool, request, floor);
+        let mut first = self.spawn_read(pool, call.clone());
         let hedge_delay =
             Micros(pool.health().latency().0 * HEDGE_LATENCY_FACTOR).max(MIN_HEDGE_DELAY);
-        let left = request.deadline.since(self.gateway.now());
+        let left = call.deadline.since(self.gateway.now());
         if left <= hedge_delay {
             return join_result(first.await);
         }
         if let Ok(result) = timeout(hedge_delay.as_duration(), &mut first).await {
             return join_result(result);
         }
-        let Some(second) = second.filter(|second| second.is_available(false)) else {
-            return join_result(first.await);
-        };
-        if !self.gateway.try_retry() {
-            return join_result(first.await);
-        }
-        trace.hedged = true;
-        trace.attempts += 1;
-        log::info!(
-        target: "request",
-        event:display = EventNumber::ReadHedged,
-        request:display = String::from_utf8_lossy(&request.id),
-        silent:display = pool.target,
-        server:display = second.target,
-        after_us = hedge_delay.0;
-        ""
-        );
-        let mut other = self.spawn_read(&second, request, floor);
-        // The slower attempt runs to its end in its own task and frees its connection.
-        tokio::select! {
-        result = &mut first => match join_result(result) {
-        Ok(answer) => Ok(answer),
-        Err(_) => {
-        trace.target = Some(second.target.clone());
-        join_result(other.await)
-        }
-        },
-        result = &mut other => match join_result(result) {
-        Ok(answer) => {
-        trace.target = Some(second.target.clone());
-        Ok(answer)
-        }
-        Err(_) => join_result(first.await),
-        },
+        for target in second.iter().chain([pool]) {
+            let (in_flight, capacity) = target.load();
+            if in_flight >= capacity || !target.is_available(false) || !self.gateway.try_retry() {
+                continue;
+            }
+            trace.hedged = true;
+            trace.attempts += 1;
+            self.gateway.core.count("reads.hedged");
+            log::info!(
+            target: "request",
+            event:display = EventNumber::ReadHedged,
+            request:display = String::from_utf8_lossy(&call.id),
+            silent:display = pool.target,
+            server:display = target.target,
+            after_us = hedge_delay.0;
+            ""
+            );
+            // The slower attempt runs to its end in its own task and frees its connection.
+            let mut other = self.spawn_read(target, call.clone());
+            tokio::select! {
+            result = &mut first => {
+            let answered = join_result(result);
+            if answered.is_ok() {
+            return answered;
+            }
+            trace.target = Some(target.target.clone());
+            return join_result(other.await);
+            }
+            result = &mut other => {
+            let answered = join_result(result);
+            if answered.is_ok() {
+            trace.target = Some(target.target.clone());
+            return answered;
+            }
+            }
+            }
         }
+        join_result(first.await)
     }
 
     /// Starts a read in its own task, which runs to its end even if its result is no longer awaited.
     ///
     /// A target that is silent for too long is recorded before the read ends, which may be only at its deadline.
-    fn spawn_read(
-        &self,
-        pool: &Rc<TargetPool<P>>,
-        request: &StatementRequest,
-        floor: LogPosition,
-    ) -> JoinHandle<AttemptResult> {
+    fn spawn_read(&self, pool: &Rc<TargetPool<P>>, call: ReadCall) -> JoinHandle<AttemptResult> {
         let pool = Rc::clone(pool);
-        let call = self.read_call(request, FreshnessProof::Position(floor));
         let gateway = Rc::clone(&self.gateway);
         tokio::task::spawn_local(async move {
             let begun = gateway.now();
@@ -375,7 +375,7 @@
             trace.attempts += 1;
             trace.target = Some(pool.target.clone());
             trace.floor = None;
-            last = match read_on(&pool, &call).await {
+            last = match self.read_hedged(&pool, None, call.clone(), trace).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
