--- a/crates/core/src/gateway/outlier.rs
+++ b/crates/core/src/gateway/outlier.rs
@@ -93,7 +93,7 @@
 }
 
 impl AnswerRecord {
-    fn record(&mut self, bad: bool) {
+    const fn record(&mut self, bad: bool) {
         self.answers = self.answers.saturating_add(1);
         let sample = if bad { 1_000 } else { 0 };
         self.bad_share = (self.bad_share * (SHARE_WEIGHT - 1) + sample) / SHARE_WEIGHT;
--- a/crates/core/src/queue/stall.rs
+++ b/crates/core/src/queue/stall.rs
@@ -18,7 +18,7 @@
 impl QueueStall {
     /// Records whether requests are left waiting after the queue had a chance to start one; `started` is whether it
     /// did.
-    pub(super) fn record(&mut self, started: bool, waiting: bool, now: Micros) {
+    pub(super) const fn record(&mut self, started: bool, waiting: bool, now: Micros) {
         self.since = match (self.since, started, waiting) {
             (Some(since), false, _) => Some(since),
             (None, false, true) | (_, true, true) => Some(now),
--- a/crates/core/tests/uneven_targets.rs
+++ b/crates/core/tests/uneven_targets.rs
@@ -48,7 +48,7 @@
 struct RandomNumbers(u64);
 
 impl RandomNumbers {
-    fn below(&mut self, limit: u64) -> u64 {
+    const fn below(&mut self, limit: u64) -> u64 {
         self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
         (self.0 >> 33) % limit
     }
