--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,8 +9,10 @@
 mod freshness;
 mod health;
 mod key_lease;
+mod leader_outage;
 mod limit;
 mod mark_source;
+mod outlier;
 mod placement;
 mod relay;
 mod share;
@@ -22,8 +24,10 @@
     freshness::{FreshnessLog, FreshnessMark},
     health::{HealthChange, TargetHealth},
     key_lease::KeyLease,
+    leader_outage::{LeaderOutage, OutageStep},
     limit::AdaptiveLimit,
     mark_source::{MarkSource, mark_is_due, mark_source},
+    outlier::{OutlierChange, OutlierDetector, TargetUse, apply_target_use},
     placement::{Distance, ReadCandidate, order_candidates},
     relay::{RelayAttempt, RelayHealth, RelaySelection},
     share::{
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -76,7 +76,7 @@
 #[derive(Debug)]
 pub(super) enum ConnectPath<P> {
     /// This entry connects to the target, once it has closed this connection of another team.
-    Own(Option<PooledConnection<P>>),
+    Own(Option<Box<PooledConnection<P>>>),
     /// These entries lend one of their connections.
     Relays(Vec<ProcessHost>),
     /// As `Relays`, because this entry cannot reach the target.
@@ -139,7 +139,7 @@
                 ConnectPath::Own(evicted) => {
                     if let Some(evicted) = evicted {
                         // The target counts both connections until it has dealt with the end of the first.
-                        let _ = timeout(EVICTION_TIMEOUT, evicted.end()).await;
+                        let _ = timeout(EVICTION_TIMEOUT, (*evicted).end()).await;
                     }
                     pool.open_connection(&request).await
                 }
@@ -196,7 +196,7 @@
         if evicted.is_some() {
             self.core.count("connections.ended.evicted");
         }
-        Some(ConnectPath::Own(evicted))
+        Some(ConnectPath::Own(evicted.map(Box::new)))
     }
 
     /// Opens an own connection that `PoolState::open` already counts.
