fix(directory): drop a silent connection to the leader with its confirmations

A request that is given up by its caller leaves the connection as it is, and HTTP/2 pings stop between short requests, so confirmations on a connection that had gone silent could have failed for as long as no other request noticed it. The request now has a time limit of its own, which ends with a new connection.

--- a/crates/directory/src/leader.rs
+++ b/crates/directory/src/leader.rs
@@ -10,7 +10,7 @@
         time::Duration,
     },
     tonic::{
-        Status,
+        Request, Status,
         transport::{Channel, Endpoint},
     },
 };
@@ -21,6 +21,10 @@
 /// Time for one request to the leader; shorter than the `OPERATION_TIMEOUT` of the sender.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for one confirmation, far below the lease on keys. A request that ends by it drops the connection, which may have
+/// gone silent; pings alone would not show that, since they stop between short requests.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// Interval of HTTP/2 pings, which are to detect a broken network path before a request is lost on it.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -78,6 +82,8 @@
         leader: &str,
         request: v1::ConfirmRequest,
     ) -> Result<v1::ConfirmReply, DirectoryError> {
+        let mut request = Request::new(request);
+        request.set_timeout(CONFIRM_TIMEOUT);
         let mut client = self.client(leader)?;
         let reply =
             client.confirm(request).await.map_err(|status| self.connection_failed(&status))?;
--- a/crates/directory/src/limits.rs
+++ b/crates/directory/src/limits.rs
@@ -24,8 +24,7 @@
     tokio::time::timeout,
 };
 
-/// Time for one confirmation. It is above an election of 350 ms, so that a request that waits for a new leader is not
-/// repeated, and far below the lease on keys.
+/// Time for one confirmation at this replica or at the leader; the client of the leader gives up earlier.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Default)]
