--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -35,7 +35,7 @@
 const FIRST_SPAN: f64 = 0.5;
 
 /// Part of the tolerance that teams may use for long; the rest is for what entries admit until they learn of a change.
-const TARGET_DEBT: f64 = 1.0 / 3.0;
+const TARGET_DEBT: f64 = 0.25;
 
 /// Smallest part of its rate that a team in debt is admitted, so that a debt never stops a team.
 const RATE_FLOOR: f64 = 0.1;
--- a/crates/core/src/team_limit/limiter.rs
+++ b/crates/core/src/team_limit/limiter.rs
@@ -1,7 +1,9 @@
 //! Admission of a team's operations at one entry.
 
 use {
-    super::{FULL_RATE, PACE_LIFETIME, TeamPace, TeamUsage, demand::DemandRate, seconds},
+    super::{
+        FULL_RATE, PACE_LIFETIME, TeamPace, TeamUsage, USUAL_MEMORY, demand::DemandRate, seconds,
+    },
     crate::{
         collections::FastMap,
         directory::{TeamLimit, TeamRule},
@@ -15,9 +17,6 @@
 /// Age of the newest confirmed probe from which an entry counts itself as out of touch: two lost probes.
 const CONTACT_TIMEOUT: Micros = Micros::from_millis(800);
 
-/// Time over which an entry averages what it admits, so that its part of the team's rate is known when contact is lost.
-const USUAL_MEMORY: Micros = Micros::from_secs(5);
-
 /// Least credit of unacknowledged operations; a report takes less than half a second to be acknowledged.
 const CREDIT_FLOOR: f64 = 8.0;
 
@@ -41,13 +40,13 @@
 const CREDIT_WAIT: Micros = Micros::from_millis(100);
 
 /// Operations that all entries out of touch admit together beyond their rate, whatever the limit.
-const ALONE_OPERATIONS: f64 = 16.0;
+const ALONE_OPERATIONS: f64 = 14.0;
 
 /// Seconds of the rate that a flood asks for while entries are out of touch: 4.7 times the rate for 3.2 s.
 const ALONE_FLOOD: f64 = 15.0;
 
 /// Seconds of the rate that all entries out of touch may admit of a flood that reaches each of them at most once.
-const ALONE_SPARSE: f64 = 2.5;
+const ALONE_SPARSE: f64 = 0.5;
 
 /// Part of the burst that all entries out of touch admit together beyond their rate.
 const ALONE_BURST: f64 = 0.8;
--- a/crates/core/src/team_limit/mod.rs
+++ b/crates/core/src/team_limit/mod.rs
@@ -18,6 +18,10 @@
 /// Time for which a pace holds without being renewed, while an entry is in touch.
 const PACE_LIFETIME: Micros = Micros::from_millis(1_500);
 
+/// Time over which the usual rate of an entry is averaged, so that its part of the team's rate is known when contact is
+/// lost.
+const USUAL_MEMORY: Micros = Micros::from_secs(5);
+
 /// Operations of a team since the last report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamUsage {
