--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -34,8 +34,12 @@
 /// Time for which a new leader credits the rate: the first reports contain what ran since its predecessor's last answer.
 const FIRST_SPAN: f64 = 0.5;
 
-/// Part of the tolerance that teams may use for long; the rest is for what entries admit until they learn of a change.
-const TARGET_DEBT: f64 = 0.25;
+/// Part of the tolerance by which a team may be in debt before it is paced, so that small teams may vary.
+const PACED_DEBT: f64 = 0.25;
+
+/// Part of the tolerance that paced teams may use for long; the rest is for entries that are cut off and for what entries
+/// admit until they learn of a change.
+const TARGET_DEBT: f64 = 0.05;
 
 /// Smallest part of its rate that a team in debt is admitted, so that a debt never stops a team.
 const RATE_FLOOR: f64 = 0.1;
@@ -92,7 +96,8 @@
         self.refill(now);
         let demand = self.demand.at(DEMAND_MEMORY, now);
         let excess = (demand * self.share - self.rate()).max(0.0);
-        let expected = self.level - excess * FEEDBACK_DELAY + self.tolerance() * TARGET_DEBT;
+        let debt = if self.share < LIFTED_SHARE { TARGET_DEBT } else { PACED_DEBT };
+        let expected = self.level - excess * FEEDBACK_DELAY + self.tolerance() * debt;
         let admitted = (self.rate() + expected / LEVEL_HORIZON).max(self.rate() * RATE_FLOOR);
         let share = if demand > admitted { admitted / demand } else { 1.0 };
         if share < LIFTED_SHARE {
