--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -14,7 +14,7 @@
 const DEMAND_MEMORY: Micros = Micros::from_millis(300);
 
 /// Time from an operation at an entry until a pace that reflects it is in force at all entries.
-const FEEDBACK_DELAY: f64 = 0.35;
+const FEEDBACK_DELAY: f64 = 0.25;
 
 /// Time in which the pace brings the level of a bucket to its target; a shorter one than the delay would oscillate.
 const LEVEL_HORIZON: f64 = 0.6;
@@ -28,8 +28,18 @@
 /// Operations that may be exceeded on top, which lets small teams vary.
 const TOLERANCE_OPERATIONS: f64 = 20.0;
 
-/// Part of the tolerance that teams may use for long; the rest is for what entries admit until they learn of a change.
-const TARGET_DEBT: f64 = 1.0 / 3.0;
+/// Refill of a bucket as a part of the rate, which uses a part of the tolerance.
+const REFILL_PART: f64 = 1.03;
+
+/// Time for which a new leader credits the rate: the first reports contain what ran since its predecessor's last answer.
+const FIRST_SPAN: f64 = 0.5;
+
+/// Part of the tolerance by which a team may be in debt before it is paced, so that small teams may vary.
+const PACED_DEBT: f64 = 0.25;
+
+/// Part of the tolerance that paced teams may use for long; the rest is for entries that are cut off and for what entries
+/// admit until they learn of a change.
+const TARGET_DEBT: f64 = 0.05;
 
 /// Smallest part of its rate that a team in debt is admitted, so that a debt never stops a team.
 const RATE_FLOOR: f64 = 0.1;
@@ -75,8 +85,9 @@
 
     /// Adds what the bucket gained since the last call.
     fn refill(&mut self, now: Micros) {
-        let elapsed = self.updated.map_or(0.0, |updated| seconds(now.since(updated)));
-        self.level = (self.level + self.rate() * elapsed).min(self.limit.burst as f64);
+        let elapsed = self.updated.map_or(FIRST_SPAN, |updated| seconds(now.since(updated)));
+        self.level =
+            (self.level + self.rate() * REFILL_PART * elapsed).min(self.limit.burst as f64);
         self.updated = Some(self.updated.map_or(now, |updated| updated.max(now)));
     }
 
@@ -85,7 +96,8 @@
         self.refill(now);
         let demand = self.demand.at(DEMAND_MEMORY, now);
         let excess = (demand * self.share - self.rate()).max(0.0);
-        let expected = self.level - excess * FEEDBACK_DELAY + self.tolerance() * TARGET_DEBT;
+        let debt = if self.share < LIFTED_SHARE { TARGET_DEBT } else { PACED_DEBT };
+        let expected = self.level - excess * FEEDBACK_DELAY + self.tolerance() * debt;
         let admitted = (self.rate() + expected / LEVEL_HORIZON).max(self.rate() * RATE_FLOOR);
         let share = if demand > admitted { admitted / demand } else { 1.0 };
         if share < LIFTED_SHARE {
@@ -110,6 +122,8 @@
 #[derive(Debug, Default)]
 pub struct LimitLedger {
     buckets: BTreeMap<SharedName, TeamBucket>,
+    /// Time of the last report of each replica.
+    reported: BTreeMap<SharedName, Micros>,
 }
 
 impl LimitLedger {
@@ -138,17 +152,24 @@
     /// Adds the usage of a replica's followers and returns the paces of all teams near their limit.
     pub fn record(
         &mut self,
-        _replica: &SharedName,
+        replica: &SharedName,
         usage: &[TeamUsage],
         now: Micros,
     ) -> Vec<TeamPace> {
+        // A report after a pause is spread over the pause, or it would look like a flood.
+        let pause = self
+            .reported
+            .insert(replica.clone(), now)
+            .map_or(FIRST_SPAN, |last| seconds(now.since(last)));
+        let weight = (seconds(DEMAND_MEMORY) / pause.max(f64::MIN_POSITIVE)).min(1.0);
         for used in usage {
             let Some(bucket) = self.buckets.get_mut(&used.team) else {
                 continue;
             };
             bucket.refill(now);
             bucket.level -= f64::from(used.admitted);
-            bucket.demand.record(used.admitted.saturating_add(used.refused), DEMAND_MEMORY, now);
+            let asked = f64::from(used.admitted) + f64::from(used.refused);
+            bucket.demand.record(asked * weight, DEMAND_MEMORY, now);
         }
         let mut paces = Vec::new();
         for (team, bucket) in &mut self.buckets {
@@ -166,5 +187,6 @@
         for bucket in self.buckets.values_mut() {
             *bucket = TeamBucket::new(bucket.limit);
         }
+        self.reported.clear();
     }
 }
