fix(core): credit 0.7 s of the rate to the bucket of a new leader

Cause: the first reports to a new leader contain what ran since its predecessor's last answer, and looked like excess of quiet teams.

Change: FIRST_SPAN 0.7 s, lasting debt a tenth of the tolerance.

--- a/crates/core/src/team_limit/ledger.rs
+++ b/crates/core/src/team_limit/ledger.rs
@@ -32,14 +32,14 @@
 const REFILL_PART: f64 = 1.03;
 
 /// Time for which a new leader credits the rate: the first reports contain what ran since its predecessor's last answer.
-const FIRST_SPAN: f64 = 0.5;
+const FIRST_SPAN: f64 = 0.7;
 
 /// Part of the tolerance by which a team may be in debt before it is paced, so that small teams may vary.
 const PACED_DEBT: f64 = 0.25;
 
 /// Part of the tolerance that paced teams may use for long; the rest is for entries that are cut off and for what entries
 /// admit until they learn of a change.
-const TARGET_DEBT: f64 = 0.05;
+const TARGET_DEBT: f64 = 0.1;
 
 /// Smallest part of its rate that a team in debt is admitted, so that a debt never stops a team.
 const RATE_FLOOR: f64 = 0.1;
