fix(core): hide documents and credentials, make room when a target refuses

Change: Hidden<Value> for the document and the credential; a refusal also makes the pool exchange the longest idle connection of another team.

--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         compression::{compress, decompress},
+        hidden::Hidden,
         names::SharedName,
     },
     serde::{Deserialize, Serialize},
@@ -22,7 +23,7 @@
         /// The routes; the proposer has validated them.
         draft: RouteDraft,
         /// Text of the routes as the operator sent it.
-        document: String,
+        document: Hidden<String>,
     },
     /// Records a target's report about itself.
     RecordTarget {
--- a/crates/core/src/directory/routes.rs
+++ b/crates/core/src/directory/routes.rs
@@ -4,6 +4,7 @@
     super::teams::TeamRule,
     crate::{
         collections::{FastMap, FastSet},
+        hidden::Hidden,
         names::SharedName,
         time::Micros,
     },
@@ -214,13 +215,13 @@
     #[serde(default)]
     pub teams: BTreeMap<SharedName, TeamRule>,
     /// Text that the operator sent, returned unchanged when it is read back.
-    pub document: String,
+    pub document: Hidden<String>,
 }
 
 impl ActiveRoutes {
     /// Creates the active routes from a draft that passed `check`.
     #[must_use]
-    pub fn new(draft: RouteDraft, document: String) -> Self {
+    pub fn new(draft: RouteDraft, document: Hidden<String>) -> Self {
         let mut routes: BTreeMap<SharedName, RouteRule> = BTreeMap::new();
         for rule in draft.routes {
             let known = routes.get(&rule.database);
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -9,6 +9,7 @@
     crate::{
         change::{ChangeList, ChangeSet},
         compression::{compress, decompress},
+        hidden::Hidden,
         names::SharedName,
         route::TargetRole,
         state_machine::{SnapshotError, StateMachine},
@@ -219,7 +220,7 @@
         }
     }
 
-    fn apply_routes(&mut self, index: u64, draft: RouteDraft, document: String) -> bool {
+    fn apply_routes(&mut self, index: u64, draft: RouteDraft, document: Hidden<String>) -> bool {
         if draft.version <= self.data.book.version {
             return false;
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod failure;
 pub mod floor;
 pub mod gateway;
+pub mod hidden;
 pub mod log_rate_limit;
 pub mod names;
 pub mod position;
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -78,7 +78,7 @@
     }
 
     fn routes(&mut self, draft: RouteDraft, document: &str) -> bool {
-        let document = document.to_owned();
+        let document = document.into();
         self.changes(&DirectoryCommand::ApplyRoutes { draft, document })
     }
 
@@ -94,7 +94,7 @@
     assert!(directory.routes(draft(5, &["a"]), "five"));
     assert!(!directory.routes(draft(5, &["b"]), "other five"));
     assert!(!directory.routes(draft(4, &["c"]), "four"));
-    assert_eq!(directory.state.routes().document, "five");
+    assert_eq!(directory.state.routes().document.reveal(), "five");
     assert!(directory.routes(draft(9, &["b"]), "nine"));
     assert!(directory.state.routes().routes.contains_key("b"));
     assert!(!directory.state.routes().routes.contains_key("a"));
--- a/crates/core/tests/teams.rs
+++ b/crates/core/tests/teams.rs
@@ -27,7 +27,7 @@
 }
 
 fn apply(state: &mut DirectoryState, index: u64, draft: RouteDraft) {
-    let document = String::new();
+    let document = "".into();
     let command = DirectoryCommand::ApplyRoutes { draft, document };
     let _ = state.apply(index, &command.encode());
 }
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -101,7 +101,7 @@
             );
             return Ok(RoutesOutcome::Invalid(faults));
         }
-        let command = DirectoryCommand::ApplyRoutes { draft, document };
+        let command = DirectoryCommand::ApplyRoutes { draft, document: document.into() };
         let changed = self.change(&command, "routes").await?;
         let event = if changed { EventNumber::RoutesAccepted } else { EventNumber::RoutesOutdated };
         log::info!(target: "event", event:display = event, version; "");
@@ -132,7 +132,9 @@
     /// Returns an error if this replica is not the leader or no majority confirms its leadership.
     pub(crate) async fn read_here(&self) -> Result<(u64, String), LogError> {
         self.log.confirm().await?;
-        self.log.inspect(|state| (state.routes().version, state.routes().document.clone())).await
+        self.log
+            .inspect(|state| (state.routes().version, state.routes().document.reveal().clone()))
+            .await
     }
 
     /// Records the report of a target about itself.
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -179,7 +179,8 @@
             return Some(ConnectPath::Relays(relays));
         }
         // The connection of another team makes room; without teams, a slot is granted only if there is room.
-        let full = !state.team_relays.is_empty() && state.open >= max_connections(&state.share);
+        let exhausted = state.open >= max_connections(&state.share) || state.is_refused(self.now());
+        let full = !state.team_relays.is_empty() && exhausted;
         let evicted = if full { state.evict_idle(team) } else { None };
         if full && evicted.is_none() {
             let relays = match options.user {
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -185,7 +185,7 @@
         match first.map_err(|_| SessionEnd::Closed)?? {
             CallerMessage::Start { database, credential } => {
                 self.database = database;
-                self.key = KeyDigest::of(&credential);
+                self.key = KeyDigest::of(credential.reveal());
             }
             CallerMessage::End => return Err(SessionEnd::Closed),
             CallerMessage::Statement { .. } | CallerMessage::Malformed => {
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -4,6 +4,7 @@
     banyansill_core::{
         failure::FailureKind,
         gateway::TargetError,
+        hidden::Hidden,
         names::SharedName,
         position::{LogPosition, LogTerm},
         route::TargetRole,
@@ -83,7 +84,7 @@
         database: SharedName,
         /// What the caller identifies itself with: a key where routes need one, or else any name. It is never
         /// logged.
-        credential: Bytes,
+        credential: Hidden<Bytes>,
     },
     /// Runs a statement.
     Statement {
