fix(directory): keep an entry recorded when its old stream ends after the new one

A replica notices the end of the stream of an entry that lost power only after 4 s. It then removed the entry's report although the entry had come back to the same replica; the leader removed the entry from the directory 5 s later, the replica recorded it again, and so on for ever.

StreamRegistry in core decides which stream of an entry counts.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod failover;
 mod routes;
 mod state;
+mod stream_registry;
 mod targets;
 mod teams;
 mod update;
@@ -23,6 +24,7 @@
         DirectoryItem, DirectorySet, DirectoryState, GroupRecord, ProcessHost, ProcessKind,
         PromotionRecord,
     },
+    stream_registry::{StreamNumber, StreamRegistry},
     targets::{DepartedTarget, ReportOrder, TargetReport, TargetState},
     teams::{KeyDigest, TeamLimit, TeamRule},
     update::{DirectoryUpdate, GroupView},
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -46,6 +46,7 @@
         let Ok(Some(first)) = requests.message().await else { return };
         let entry = ProcessHost::from(first.entry.unwrap_or_default());
         let host = entry.host.clone();
+        let number = self.followers.open_stream(&host);
         self.record_reach(&entry, first.reach);
         let recorder = tokio::spawn(keep_recorded(self.node.clone(), entry.clone()));
         let reports = async {
@@ -60,7 +61,7 @@
             _ = stopping.wait_for(|stop| *stop) => {}
         }
         recorder.abort();
-        self.followers.remove(&host);
+        self.followers.close_stream(&host, number);
     }
 
     fn record_reach(&self, entry: &ProcessHost, reach: Vec<v1::Reach>) {
--- a/crates/directory/src/reachability.rs
+++ b/crates/directory/src/reachability.rs
@@ -3,7 +3,10 @@
 use {
     banyansill_core::{
         collections::FastMap,
-        directory::{ENTRY_FAILURE_TIMEOUT, PrimaryEvidence, VANISHED_ENTRY_TTL},
+        directory::{
+            ENTRY_FAILURE_TIMEOUT, PrimaryEvidence, StreamNumber, StreamRegistry,
+            VANISHED_ENTRY_TTL,
+        },
         names::SharedName,
         time::Micros,
     },
@@ -28,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EntryReports {
     entries: Arc<Mutex<FastMap<SharedName, EntryReport>>>,
+    streams: Arc<Mutex<StreamRegistry>>,
     targets_changed: Arc<Notify>,
 }
 
@@ -51,9 +55,21 @@
         self.targets_changed.notified().await;
     }
 
-    /// Removes an entry whose connection ended.
-    pub(crate) fn remove(&self, host: &SharedName) {
-        self.lock().remove(host);
+    /// Registers a new stream of an entry.
+    pub(crate) fn open_stream(&self, host: &SharedName) -> StreamNumber {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner).open(host.clone())
+    }
+
+    /// Removes the report of an entry whose stream ended, unless it has a newer stream; returns whether it was removed.
+    pub(crate) fn close_stream(&self, host: &SharedName, number: StreamNumber) -> bool {
+        // The registry stays locked, so that a new stream cannot report between the check and the removal.
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let gone = streams.close(host, number);
+        if gone {
+            self.lock().remove(host);
+        }
+        drop(streams);
+        gone
     }
 
     /// Returns the reports of all entries in the form that is forwarded to the leader.
