--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -57,6 +57,7 @@
         let host = entry.host.clone();
         let since = first.since;
         let pending = PendingProbes::default();
+        let number = self.followers.open_stream(&host);
         self.record(&entry, first, &pending);
         let recorder = tokio::spawn(keep_recorded(self.node.clone(), entry.clone()));
         let reports = async {
@@ -71,8 +72,9 @@
             _ = stopping.wait_for(|stop| *stop) => {}
         }
         recorder.abort();
-        self.followers.remove(&host);
-        self.probes.remove(&host);
+        if self.followers.close_stream(&host, number) {
+            self.probes.remove(&host);
+        }
     }
 
     fn record(&self, entry: &ProcessHost, request: v1::FollowRequest, pending: &PendingProbes) {
