--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -73,6 +73,10 @@
 struct BurstResult {
     served: [f64; 2],
     refusals: u64,
+    /// Refusals while a slot was free and nothing waited for it.
+    false_refusals: u64,
+    /// Longest wait of a request that was served.
+    longest_wait: Micros,
 }
 
 /// Plays a burst of one second of `load` times what four slots serve, then half of it; callers try three times.
@@ -94,7 +98,8 @@
     for Reverse((_, _, priority, ..)) in &arrivals {
         offered[usize::from(*priority > 0)] += 1;
     }
-    let (mut served, mut refusals) = ([0_u64; 2], 0);
+    let (mut served, mut refusals, mut false_refusals) = ([0_u64; 2], 0, 0);
+    let mut longest_wait = Micros::ZERO;
     let mut deadlines = std::collections::BTreeMap::new();
     let mut running: Vec<(u64, SlotTicket)> = Vec::new();
     for now in (0..9_000_000).step_by(500) {
@@ -115,6 +120,8 @@
                 }
                 Err(QueueRefusal::WouldMissDeadline { retry_after }) => {
                     refusals += 1;
+                    let free = queue.running() < 4 && queue.waiting() == 0;
+                    false_refusals += u64::from(free);
                     let wait = if planned { retry_after.0 } else { 1_000_000 };
                     if tries > 1 && now + wait < patience {
                         arrivals.push(Reverse((now + wait, number, priority, tries - 1, patience)));
@@ -126,12 +133,13 @@
         while let Some(start) = queue.start_next(Micros(now), true) {
             let (deadline, priority) = deadlines[&start.ticket];
             let end = now + WORK;
+            longest_wait = longest_wait.max(start.waited);
             served[usize::from(priority > 0)] += u64::from(end <= deadline);
             running.push((end, start.ticket));
         }
     }
     let share = |index: usize| served[index] as f64 / offered[index] as f64;
-    BurstResult { served: [share(0), share(1)], refusals }
+    BurstResult { served: [share(0), share(1)], refusals, false_refusals, longest_wait }
 }
 
 // Guards against refused requests that come again all at once and are refused again, and against urgent ones that
@@ -150,6 +158,8 @@
             naive.served[1] * 100.0,
             naive.refusals,
         );
+        assert_eq!(result.false_refusals, 0, "load {load}: refused while slots were free");
+        assert!(result.longest_wait < TIMEOUT, "load {load}: {:?}", result.longest_wait);
         assert!(result.served[0] >= 0.99, "load {load}: {} of the urgent", result.served[0]);
         assert!(result.served[0] >= result.served[1], "load {load}: others before the urgent");
         assert!(result.served[1] >= naive.served[1] - 0.01, "load {load}: {}", result.served[1]);
