--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -194,7 +194,7 @@
                     OutagePolicy::HoldToDeadline => OutageStep::Wait,
                 };
                 match step {
-                    OutageStep::Wait => now = now + ms(20),
+                    OutageStep::Wait => now += ms(20),
                     OutageStep::Refuse { retry_after } => {
                         told = retry_after;
                         break;
@@ -208,7 +208,7 @@
             if start > ms(3_300) {
                 longest = longest.max(now.since(start));
             }
-            now = now + told.max(ms(100 << attempt));
+            now += told.max(ms(100 << attempt));
         }
     }
     (f64::from(served) / CALLERS as f64, longest)
