--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -45,13 +45,6 @@
 /// entries cannot reach it either, and entries without traffic would not notice its loss.
 const PRIMARY_CHECK_SILENCE: Micros = Micros::from_millis(1_500);
 
-/// Part of the time until its deadline for which a session waits for a new connection, as a divisor. While this entry, or
-/// those that it uses, cannot reach a target, another entry may: the caller has the other half to try one.
-const CONNECT_WAIT_DIVISOR: u64 = 2;
-
-/// Minimum wait of a session for a new connection, as far as its deadline allows: enough for three entries to be asked.
-const MIN_CONNECT_WAIT: Micros = Micros::from_millis(300);
-
 /// Reason why a connection could not be opened.
 #[derive(Debug)]
 pub(crate) enum OpenFailure {
@@ -149,15 +142,10 @@
                 pool.put_back(unwanted);
             }
         });
-        let left = options.slot.deadline.since(self.now());
-        let wait = Micros(left.0 / CONNECT_WAIT_DIVISOR).max(MIN_CONNECT_WAIT).min(left);
-        match timeout(wait.as_duration(), opened).await {
+        let left = options.slot.deadline.since(self.now()).as_duration();
+        match timeout(left, opened).await {
             Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
-            Err(_) => {
-                self.core.count("connections.late");
-                Err(LeaseFailure::new(FailureKind::Overloaded))
-            }
+            _ => Err(LeaseFailure::new(FailureKind::QueueTimeout)),
         }
     }
 
