fix(gateway): hold new sessions until the first confirmation of keys

Cause: after a loss of power entries refused new sessions with keys-unconfirmed after 0.8 s, while control needs about a second to elect a leader; a caller has two retries. An entry that had lost its confirmation held new sessions as long, though it cannot tell when control returns.

Change: new sessions wait up to 1.7 s after their start message, but only until the first confirmation of a process; later lapses refuse at once.

--- a/crates/core/src/gateway/key_lease.rs
+++ b/crates/core/src/gateway/key_lease.rs
@@ -77,6 +77,12 @@
         self.confirmed.is_some_and(|probe| now < probe + duration)
     }
 
+    /// Returns whether the first confirmation is still awaited.
+    #[must_use]
+    pub const fn is_new(&self) -> bool {
+        self.duration.is_some() && self.confirmed.is_none()
+    }
+
     fn confirm(&mut self, probe: Micros) {
         self.confirmed = self.confirmed.max(Some(probe));
     }
--- a/crates/core/tests/key_lease.rs
+++ b/crates/core/tests/key_lease.rs
@@ -19,6 +19,21 @@
     lease
 }
 
+/// Guards against an entry that refuses its first callers though its keys are about to be confirmed, or holds callers up
+/// because of a confirmation that it has lost.
+#[test]
+fn only_a_new_lease_awaits_its_first_confirmation() {
+    let mut lease = KeyLease::new(Some(Micros::from_secs(5)));
+    assert!(lease.is_new());
+    lease.record_confirmation(Micros::from_secs(10), 3, 2);
+    assert!(lease.is_new(), "the table lacks the version");
+    lease.record_version(3);
+    assert!(!lease.is_new());
+    assert!(!lease.is_valid(Micros::from_secs(15)));
+    assert!(!lease.is_new(), "a lost confirmation is not a first one");
+    assert!(!KeyLease::new(None).is_new());
+}
+
 /// Guards against a restarted entry that uses keys before control has confirmed anything.
 #[test]
 fn a_new_lease_has_expired() {
--- a/crates/gateway/src/session/access.rs
+++ b/crates/gateway/src/session/access.rs
@@ -11,9 +11,10 @@
     std::time::Duration,
 };
 
-/// Maximum wait of a new session for the first confirmation of keys after the process has started; callers give up
-/// after 2 s.
-const KEYS_TIMEOUT: Micros = Micros::from_millis(800);
+/// Maximum wait of a new session for routes and a confirmation of keys, after its start message. Callers give up after
+/// 2 s; one that is refused earlier uses up one of its few attempts, while control needs about a second after a loss of
+/// power.
+const KEYS_TIMEOUT: Micros = Micros::from_millis(1_700);
 
 /// Interval at which a new session checks whether keys are confirmed.
 const KEYS_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -22,10 +23,13 @@
 where
     P: StatementProtocol,
 {
-    /// Waits until this entry may rely on its table of keys, for a limited time.
-    pub(super) async fn wait_for_keys(&self) {
-        let deadline = self.gateway.now() + KEYS_TIMEOUT;
-        while !self.gateway.core.teams.keys_are_confirmed(self.gateway.now())
+    /// Waits for the first confirmation of keys after the process has started, for a limited time after the start of the
+    /// session.
+    ///
+    /// An entry that has lost its confirmation refuses at once: nobody knows when control returns.
+    pub(super) async fn wait_for_keys(&self, started_at: Micros) {
+        let deadline = started_at + KEYS_TIMEOUT;
+        while self.gateway.core.teams.awaits_first_confirmation()
             && self.gateway.pause(KEYS_CHECK_INTERVAL, deadline).await
         {}
     }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -193,11 +193,12 @@
                 return Err(SessionEnd::Refused);
             }
         }
+        let started_at = self.gateway.now();
         let table = self.gateway.routes_within(ROUTES_TIMEOUT).await;
         let kind = match table.routes.get(&self.database) {
             Some(route) => {
                 if !route.public {
-                    self.wait_for_keys().await;
+                    self.wait_for_keys(started_at).await;
                 }
                 match self.identify(route) {
                     Ok(()) => {
--- a/crates/gateway/src/team_access.rs
+++ b/crates/gateway/src/team_access.rs
@@ -94,6 +94,11 @@
         confirmed
     }
 
+    /// Returns whether the entry has not had its first confirmation of keys yet.
+    pub(crate) fn awaits_first_confirmation(&self) -> bool {
+        self.is_strict && self.lock().lease.is_new()
+    }
+
     /// Counts an operation of a team, or returns the time until its next one fits within the limit.
     pub(crate) fn admit(&self, team: &SharedName, now: Micros) -> Result<(), Micros> {
         let mut state = self.lock();
