perf(core): few relays for each zone where connections serve one team

Cause: the holders of teams were spread over up to 18 relays of three connections for each target, others for each target.

Change: one relay for eight connections, the same for all targets of a zone.

--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -28,6 +28,9 @@
 /// so that the entries that restart after a power loss need as many again until the target drops the lost ones.
 const TEAM_USED_PERCENT: u32 = 50;
 
+/// The same where connections serve one team each: with more of them in one place, fewer are exchanged.
+const TEAM_CONNECTIONS_PER_RELAY: u32 = 8;
+
 /// Maximum number of connections of one entry to one target; more would only move the queue into the target.
 const MAX_DIRECT_CONNECTIONS: u32 = 8;
 
@@ -93,8 +96,14 @@
     if relays.is_empty() {
         relays = entries.iter().collect();
     }
-    relays.sort_by_cached_key(|entry| rendezvous_weight(&entry.host, target));
-    let max_relays = usize::try_from((usable / CONNECTIONS_PER_RELAY).max(1)).unwrap_or(usize::MAX);
+    // The relays of teams are the same for all targets of a zone, so that entries keep connections to few of them.
+    let (place, per_relay) = if rule.by_team {
+        (zone, TEAM_CONNECTIONS_PER_RELAY)
+    } else {
+        (target, CONNECTIONS_PER_RELAY)
+    };
+    relays.sort_by_cached_key(|entry| rendezvous_weight(&entry.host, place));
+    let max_relays = usize::try_from((usable / per_relay).max(1)).unwrap_or(usize::MAX);
     relays.truncate(max_relays);
     DirectEntries::Relays(relays)
 }
