--- a/crates/gateway/src/team_access.rs
+++ b/crates/gateway/src/team_access.rs
@@ -90,7 +90,7 @@
         }
         let mut state = self.lock();
         let confirmed = state.lease.is_valid(now);
-        self.note_change(&mut state, confirmed, now);
+        self.log_change(&mut state, confirmed, now);
         confirmed
     }
 
@@ -145,12 +145,12 @@
         let mut state = self.lock();
         // A lease that expired before is noted here if no session asked for it.
         let before = state.lease.is_valid(now);
-        self.note_change(&mut state, before, now);
+        self.log_change(&mut state, before, now);
         let table_version = state.version;
         state.lease.record_confirmation(*probe, *version, table_version);
         state.limiter.record_confirmation(*probe, paces, now);
         let confirmed = state.lease.is_valid(now);
-        self.note_change(&mut state, confirmed, now);
+        self.log_change(&mut state, confirmed, now);
     }
 
     /// Records that the stream to control is lost, with the reports and confirmations on it.
@@ -159,7 +159,7 @@
     }
 
     /// Logs and counts a change of the keys' validity.
-    fn note_change(&self, state: &mut AccessState, confirmed: bool, now: Micros) {
+    fn log_change(&self, state: &mut AccessState, confirmed: bool, now: Micros) {
         if !self.is_strict || state.confirmed == confirmed {
             return;
         }
