fix(gateway): end the wait for a refusing target with its back-off

Cause: read in the diff of: a request that may not use a detour was granted a slot, found the target refusing, and then waited for a returned connection until its deadline, outside the queue that refuses what waits in vain. No test of its own: the wait is in the pool and no fake of it exists; platform/tests/faults.rs runs the path.

--- a/crates/core/src/gateway/connect_admission.rs
+++ b/crates/core/src/gateway/connect_admission.rs
@@ -40,6 +40,12 @@
         now < self.refused_until
     }
 
+    /// Returns the end of the back-off after the last refusal.
+    #[must_use]
+    pub const fn refused_until(&self) -> Micros {
+        self.refused_until
+    }
+
     /// Records that the target accepted a connection.
     pub const fn record_accepted(&mut self) {
         self.refusals = 0;
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -258,12 +258,17 @@
         }
     }
 
-    /// Waits until a connection is returned to the pool, because all of them are in use.
+    /// Waits until a connection is returned to the pool, because all of them are in use, or until the target may
+    /// accept another one.
     async fn wait_for_return(&self, deadline: Micros) -> Result<(), LeaseFailure> {
-        let left = deadline.since(self.now()).as_duration();
-        timeout(left, self.returned.notified())
-            .await
-            .map_err(|_| LeaseFailure::new(FailureKind::QueueTimeout))
+        let now = self.now();
+        let refused_until = self.state.borrow().admission.refused_until();
+        let until = if refused_until > now { deadline.min(refused_until) } else { deadline };
+        let returned = timeout(until.since(now).as_duration(), self.returned.notified()).await;
+        if returned.is_err() && until == deadline {
+            return Err(LeaseFailure::new(FailureKind::QueueTimeout));
+        }
+        Ok(())
     }
 
     /// Waits for a slot until the deadline in `options`.
