test(review): case 1, a control replica that loses an election keeps the match index of the former leader

Cause: start_election enters the next term without the resets of adopt_term, so a replica that accepts another leader in the term for which it stood itself acknowledges, commits and applies its own entries of the former leader. Nothing is fixed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/platform-gateway target/release/platform-control target/review/release/review-harness; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
-exec target/review/release/review-harness sync-release "review/1"
+exec target/review/release/review-harness election "review/1"
--- a/review/harness/src/election.rs
+++ b/review/harness/src/election.rs
@@ -26,8 +26,14 @@
 /// Time without any disruption before the change that is judged: `recovery_s`, then `stability_window_ms`.
 const CALM: Duration = Duration::from_millis(12_000 + 5_000);
 
-/// Time of the case after which no further hand-over begins, in milliseconds; the check after the last one takes 25 s.
-const LAST_BEGINNING: u64 = 70_000;
+/// Time of the case after which no further hand-over begins, in milliseconds; the checks after the last one take 60 s.
+const LAST_BEGINNING: u64 = 55_000;
+
+/// Number of times that the whole core is killed for the last check, so that another replica may lead each time.
+const CORE_KILLS: usize = 8;
+
+/// Time between two hand-overs, after which the gateways follow their nearest control replicas again.
+const PAUSE: Duration = Duration::from_millis(10_000);
 
 /// Number of changes without the disruption.
 const QUIET_ROUNDS: usize = 3;
@@ -65,6 +71,7 @@
         // Nothing is judged yet: the core has just been disturbed. If every gateway serves the route, the next hand-over begins.
         let again = if trouble { record.now() < LAST_BEGINNING } else { round < QUIET_ROUNDS };
         if again && judge(record, &deployment, &name, 1).is_empty() {
+            thread::sleep(if trouble { PAUSE } else { Duration::ZERO });
             continue;
         }
         record.line(&format!("no disruption for {} s", CALM.as_secs()));
@@ -73,27 +80,22 @@
             "version {version} was acknowledged {:.1} s ago; all processes have run undisturbed since",
             acknowledged.elapsed().as_secs_f64()
         ));
-        for index in 0..5 {
-            let address = deployment.operator(index);
-            let response =
-                http::call(&address, "GET", "/-/config", &[], "", Duration::from_secs(1));
-            let text = response.map_or(String::new(), |response| response.body);
-            let start = text.split(',').next().unwrap_or_default();
-            record.line(&format!("operator: GET /-/config at {address} -> {start}.."));
-        }
-        let broken = judge(record, &deployment, &name, 3);
-        if !broken.is_empty() {
+        let broken_gateways = judge(record, &deployment, &name, 3);
+        if !broken_gateways.is_empty() {
             record.line(&format!(
-                "CONFIG broken: gateways {broken:?} handle requests as only versions before {version} allow: they refuse the \
+                "CONFIG broken: gateways {broken_gateways:?} handle requests as only versions before {version} allow: they refuse the \
                  route {name}, which it added"
             ));
-            for gateway in broken {
-                if read(record, &deployment, gateway, "draft") {
+            for gateway in &broken_gateways {
+                if read(record, &deployment, *gateway, "draft") {
                     record.line(&format!(
                         "CONFIG broken: gateway {gateway} runs a request on the route draft, which version {version} dropped"
                     ));
                 }
             }
+        }
+        let is_older = read_back(record, &mut deployment, version, trouble)?;
+        if !broken_gateways.is_empty() || is_older {
             return Ok(false);
         }
         if record.now() >= LAST_BEGINNING || !again {
@@ -147,6 +149,52 @@
     broken
 }
 
+/// Reads the configuration back at every replica, then kills the whole core, and so on; returns whether a read is answered with
+/// an older version than the acknowledged one.
+fn read_back(
+    record: &Record,
+    deployment: &mut Deployment,
+    version: u64,
+    trouble: bool,
+) -> Result<bool, String> {
+    for kill in 0..=CORE_KILLS {
+        let leading = leader(deployment)?;
+        record.line(&format!("core-{} leads", leading + 1));
+        let mut is_older = false;
+        for index in 0..5 {
+            let address = deployment.operator(index);
+            let second = Duration::from_secs(1);
+            let Some(response) = http::call(&address, "GET", "/-/config", &[], "", second) else { continue };
+            let text = response.body.strip_prefix("{\"version\":").unwrap_or_default();
+            let found = text.split(',').next().unwrap_or_default();
+            let status = response.status;
+            record.line(&format!("operator: GET /-/config at {address} -> {status}, version {found}"));
+            if found.parse::<u64>().is_ok_and(|found| found < version) {
+                record.line(&format!(
+                    "CONFIG broken: the read is answered with version {found}, and version {version} was acknowledged"
+                ));
+                is_older = true;
+            }
+        }
+        if is_older || !trouble || kill == CORE_KILLS || record.now() > 105_000 {
+            return Ok(is_older);
+        }
+        record.line("disruption: SIGKILL all control processes at the same moment; they are back after 0.3 s");
+        for control in &deployment.controls {
+            control.signal(SIGKILL);
+        }
+        for control in &mut deployment.controls {
+            control.kill();
+        }
+        thread::sleep(Duration::from_millis(300));
+        for control in &mut deployment.controls {
+            control.start()?;
+        }
+        thread::sleep(Duration::from_millis(2_000));
+    }
+    Ok(false)
+}
+
 fn acknowledge(
     record: &Record,
     deployment: &Deployment,
@@ -225,7 +273,7 @@
     start(deployment, early)?;
     start(deployment, also_early)?;
     say(format!("{} and {} start again", label(early), label(also_early)));
-    until(270);
+    until(110);
     deployment.controls[early].signal(SIGSTOP);
     deployment.controls[also_early].signal(SIGSTOP);
     say(format!("{} and {} freeze", label(early), label(also_early)));
