--- a/review/harness/src/election.rs
+++ b/review/harness/src/election.rs
@@ -286,6 +286,8 @@
     start(deployment, late)?;
     say(format!("{} starts again", label(late)));
     acknowledge_at(record, deployment, &[early, also_early, late], version, name)?;
+    // Heartbeats that say that the version is committed are on their way to the frozen replica.
+    thread::sleep(Duration::from_millis(250));
     deployment.controls[frozen].signal(SIGCONT);
     say(format!("{} wakes", label(frozen)));
     thread::sleep(Duration::from_millis(500));
