fix(core): a candidate forgets the leader of the former term

Cause: start_election moved to a higher term with set_term alone. adopt_term also resets the match index, the round and the owed reply, which belong to the former leader. A candidate that another replica beat in its own term kept them, reported the former leader's entries as matching, applied them, and skipped what the majority had committed at these indexes. Change: begin_term forgets all three and is the only way to a higher term.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -51,7 +51,7 @@
     fn start_election(&mut self, now: Micros) {
         self.election_timer_start = now;
         let term = self.hard_state.term + 1;
-        self.set_term(term, Some(self.identity));
+        self.begin_term(term, Some(self.identity));
         self.role = Role::Candidate {
             votes: BTreeSet::new(),
             vote_sequence: self.issued_sequence,
--- a/crates/core/src/consensus/machine.rs
+++ b/crates/core/src/consensus/machine.rs
@@ -419,11 +419,16 @@
     /// Moves to a higher term, whose leader is not yet known.
     pub(super) fn adopt_term(&mut self, now: Micros, term: u64) {
         self.step_down(now);
-        self.set_term(term, None);
+        self.begin_term(term, None);
+        self.emit_role_change();
+    }
+
+    /// Moves to a higher term and forgets what was learned from the leader of the former one.
+    pub(super) fn begin_term(&mut self, term: u64, vote: Option<ReplicaIdentity>) {
         self.leader_match = 0;
         self.leader_round = 0;
         self.reply_due = false;
-        self.emit_role_change();
+        self.set_term(term, vote);
     }
 
     pub(super) fn set_term(&mut self, term: u64, vote: Option<ReplicaIdentity>) {
--- a/crates/core/tests/consensus_cases.rs
+++ b/crates/core/tests/consensus_cases.rs
@@ -308,6 +308,59 @@
     assert!(!machine.is_leading());
 }
 
+/// Guards against a replica that loses an election in the term for which it stood itself and takes the entries and the
+/// round of the former leader for the new leader's: it would commit entries that no majority holds, and confirm rounds
+/// that it has not received.
+#[test]
+fn a_lost_candidacy_forgets_the_former_leader() {
+    let mut machine = LogMachine::new(ReplicaIdentity(2), restored(3, &[2]), Micros::ZERO, 0);
+    let unreplicated = |index| LogEntry { term: 2, index, payload: command("former leader") };
+    let append = |round, commit_index, entries| MessageBody::AppendRequest {
+        previous_index: 2,
+        previous_term: 2,
+        entries,
+        commit_index,
+        round,
+    };
+    let entries = vec![unreplicated(3), unreplicated(4)];
+    machine.step(STEP, message(1, 2, 2, append(90, 2, entries)));
+    machine.step(STEP, LogInput::Synced { sequence: 1 });
+    let elected = STEP + ELECTION_TIMEOUT_MAX;
+    machine.step(elected, LogInput::Tick { random: 0 });
+    let granted = MessageBody::VoteReply { pre_vote: true, granted: true };
+    machine.step(elected, message(3, 2, 3, granted));
+    assert_eq!(machine.hard_state().term, 3, "stands for election");
+    machine.step(elected, LogInput::Synced { sequence: 9 });
+
+    let outputs = machine.step(elected + STEP, message(3, 2, 3, append(4, 4, vec![])));
+    let reply =
+        MessageBody::AppendReply { success: true, match_index: 2, conflict_index: 0, round: 4 };
+    assert_eq!(machine.leader(), Some(ReplicaIdentity(3)));
+    assert_eq!(sent(&outputs), [&reply]);
+    assert_eq!(machine.commit_index(), 2);
+}
+
+/// Guards against a sync of entries of a former leader that is reported to the winner of an election which this replica
+/// lost.
+#[test]
+fn a_lost_candidacy_owes_the_new_leader_no_reply() {
+    let mut machine = LogMachine::new(ReplicaIdentity(2), restored(3, &[2]), Micros::ZERO, 0);
+    let entry = LogEntry { term: 2, index: 3, payload: command("former leader") };
+    machine.step(STEP, message(1, 2, 2, heartbeat((2, 2), vec![entry])));
+    let elected = STEP + ELECTION_TIMEOUT_MAX;
+    machine.step(elected, LogInput::Tick { random: 0 });
+    let granted = MessageBody::VoteReply { pre_vote: true, granted: true };
+    machine.step(elected, message(3, 2, 3, granted));
+    assert_eq!(machine.hard_state().term, 3, "stands for election");
+    // Proves nothing about entry 3, whose predecessor differs here.
+    machine.step(elected, message(3, 2, 3, heartbeat((9, 3), vec![])));
+    let outputs = machine.step(elected, LogInput::Synced { sequence: 9 });
+    for body in sent(&outputs) {
+        let matched = matches!(body, MessageBody::AppendReply { success: true, .. });
+        assert!(!matched, "{body:?}");
+    }
+}
+
 /// Guards against votes and acknowledgements that are sent before they are durable, so that a crash could
 /// revoke them.
 #[test]
