fix(directory, gateway): a replaced primary confirms nothing behind a promotion

A server that joined (or came back, and so was no longer paused) while the platform carried the order out received the log, and the old primary, which nobody had told to stop, confirmed commits that the candidate lacks. The gateways passed them on although the directory had told them that the primary was changing. Change, for groups whose commits wait for replicas: control asks the old primary to step down before it orders, then asks all replicas again (BS412); each attempt begins with the targets of the moment; targets that join or restart meanwhile are paused (BS413); gateways report an unknown outcome for commits of a primary that is being replaced or was (BS610) and send it no new writes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -165,6 +165,10 @@
     PromotionOrdered = 410, "promotion ordered";
     /// A promotion ended.
     PromotionEnded = 411, "promotion ended";
+    /// A primary that is being replaced was asked to stop acknowledging commits.
+    PrimaryDemoted = 412, "primary demoted";
+    /// A target that joined or restarted during a promotion was paused.
+    JoinedTargetPaused = 413, "joined target paused";
     /// An entry holds a node lease.
     LeaseGained = 501, "node lease gained";
     /// An entry lost its node lease.
@@ -201,6 +205,8 @@
     TargetLeftOut = 608, "target left out";
     /// A target that was left out serves reads again.
     TargetReturned = 609, "target returned";
+    /// A target's success was not passed on because a promotion may roll the commit back.
+    CommitDoubted = 610, "commit doubted";
 }
 
 impl EventNumber {
--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -54,6 +54,16 @@
         leaders
     }
 
+    /// Returns whether a commit that `target` reports may be passed on to its caller.
+    ///
+    /// Where commits wait for replicas, a promotion keeps only what the chosen replica has received. A primary that is
+    /// being replaced goes on to confirm commits if a replica that control does not know yet receives them.
+    #[must_use]
+    pub fn may_acknowledge(&self, target: &SharedName) -> bool {
+        let waits = self.rule.as_ref().is_some_and(|rule| rule.sync_replicas > 0);
+        !waits || (!self.changing && self.primary.as_ref() == Some(target))
+    }
+
     /// Returns the targets that accept reads.
     pub fn readable(&self) -> impl Iterator<Item = &Arc<TargetReport>> {
         self.targets.iter().filter(|report| report.state == TargetState::Ready)
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -2,13 +2,13 @@
 
 use {
     banyansill_core::{
-        directory::{ProcessHost, ReportOrder, TargetReport, TargetState},
+        directory::{GroupRule, ProcessHost, ReportOrder, TargetReport, TargetState},
         failure::{FailureKind, OutcomeClass},
         gateway::{
             AdaptiveLimit, AttemptEnd, ConnectionRule, ConnectionShare, Distance, FreshnessLog,
-            FreshnessMark, HealthChange, MarkNeed, MarkRole, MarkSource, NextStep, ReadCandidate,
-            RelayHealth, StatementEffect, TargetError, TargetHealth, connection_share,
-            detour_entries, mark_need, mark_source, next_step, order_candidates,
+            FreshnessMark, GroupRoute, HealthChange, MarkNeed, MarkRole, MarkSource, NextStep,
+            ReadCandidate, RelayHealth, StatementEffect, TargetError, TargetHealth,
+            connection_share, detour_entries, mark_need, mark_source, next_step, order_candidates,
         },
         position::LogPosition,
         route::TargetRole,
@@ -43,6 +43,28 @@
     assert_eq!(log.floor(ms(2_400), ms(300)), None, "no mark is recent enough");
 }
 
+// Guards against commits that are passed on although a promotion rolls them back: where commits wait for replicas, those of a
+// primary that is being replaced, or was, count for nothing.
+#[test]
+fn commits_of_a_replaced_primary_are_not_passed_on() {
+    let rule = |sync_replicas| GroupRule { group: "g".into(), connections: 71, sync_replicas };
+    let group = |sync_replicas, changing| GroupRoute {
+        rule: Some(rule(sync_replicas)),
+        primary: Some("a".into()),
+        changing,
+        ..GroupRoute::default()
+    };
+    let (primary, replaced) = ("a".into(), "b".into());
+    assert!(group(1, false).may_acknowledge(&primary));
+    assert!(!group(1, false).may_acknowledge(&replaced));
+    assert!(!group(1, true).may_acknowledge(&primary), "a replica is being promoted");
+    let unknown = GroupRoute { primary: None, ..group(1, false) };
+    assert!(!unknown.may_acknowledge(&primary));
+    // Such a group may lose commits in any promotion.
+    assert!(group(0, true).may_acknowledge(&primary));
+    assert!(group(0, false).may_acknowledge(&replaced));
+}
+
 // Guards against a mark of another entry that appears recent because it predates the start of this entry's clock:
 // reads of an entry that had just restarted missed the commits of the last ten seconds.
 #[test]
--- a/crates/directory/src/probe.rs
+++ b/crates/directory/src/probe.rs
@@ -151,6 +151,8 @@
     Pause(LogTerm),
     /// Lets a paused replica receive commits again.
     Resume,
+    /// Makes a primary of a lower term a replica, so that it acknowledges no more commits, and requests the same data.
+    Demote(LogTerm),
 }
 
 /// Sends a request to a target on a new connection; returns `None` if it does not respond in time.
@@ -167,6 +169,7 @@
         ControlRequest::Position => TargetRequest::Probe,
         ControlRequest::Pause(term) => TargetRequest::Pause(term),
         ControlRequest::Resume => TargetRequest::Resume,
+        ControlRequest::Demote(term) => TargetRequest::Demote(term),
     };
     let exchange = async {
         let mut connection = open(protocol, host, report).await.ok()?;
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -51,6 +51,12 @@
 /// suspended must not send an order that it decided on before.
 const LEADERSHIP_CONFIRMATION_TTL: Micros = Micros::from_millis(300);
 
+/// Time for which a primary is asked to stop acknowledging commits; one whose slots are all busy refuses the request.
+const DEMOTION_TIMEOUT: Micros = Micros::from_millis(400);
+
+/// Interval at which a promotion looks for targets that have joined or restarted.
+const JOINED_TARGET_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval between two probes of a target whose promotion was accepted.
 const PROMOTED_PROBE_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -147,6 +153,11 @@
         self.targets.iter().find(|report| report.target == *name)
     }
 
+    /// Returns whether a commit of the group waits for replicas.
+    const fn waits_for_replicas(&self) -> bool {
+        self.sync_replicas > 0
+    }
+
     /// Returns all targets except the recorded primary.
     fn replicas(&self) -> Vec<&TargetReport> {
         let mut replicas = Vec::new();
@@ -171,6 +182,63 @@
     no_primary_since: Option<Micros>,
 }
 
+/// Replica to promote.
+struct CandidateChoice {
+    target: TargetReport,
+    /// Term under which the replicas were paused, above every term that they know.
+    pause_term: LogTerm,
+}
+
+/// Targets that join a group, or restart, while one of its replicas is being promoted.
+///
+/// Each that receives commits lets the old primary confirm them, although the candidate lacks them.
+struct JoinedTargets<L, P> {
+    node: DirectoryNode<L>,
+    protocol: P,
+    group: SharedName,
+    pause_term: LogTerm,
+    /// Start times of the targets that are paused, by name.
+    paused: FastMap<SharedName, u64>,
+}
+
+impl<L, P> JoinedTargets<L, P>
+where
+    L: CommandLog<Machine = DirectoryState>,
+    P: StatementProtocol,
+{
+    /// Pauses them until the task is aborted.
+    async fn run(mut self) {
+        loop {
+            sleep(JOINED_TARGET_INTERVAL).await;
+            let group = self.group.clone();
+            let read = self.node.log.inspect(move |state| GroupSnapshot::of(state, &group));
+            let Ok(snapshot) = read.await else { return };
+            for report in snapshot.replicas() {
+                let incarnation = report.order.incarnation;
+                if self.paused.get(&report.target) == Some(&incarnation) {
+                    continue;
+                }
+                let request = ControlRequest::Pause(self.pause_term);
+                let row = request_row(&self.protocol, &self.node.own.host, report, request).await;
+                let paused = row.is_some();
+                log::info!(
+                    target: "event",
+                    event:display = EventNumber::JoinedTargetPaused,
+                    group:display = self.group,
+                    server:display = report.target,
+                    paused;
+                    ""
+                );
+                if paused {
+                    self.paused.insert(report.target.clone(), incarnation);
+                } else {
+                    sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+}
+
 /// Outcome of a promotion.
 enum PromotionOutcome {
     /// The target is the primary.
@@ -351,10 +419,14 @@
             replaces;
             ""
         );
-        let outcome = self.promote_candidate(snapshot, fence, replaces > 0).await;
+        let outcome = self.promote_candidate(fence, replaces > 0).await;
         let primary = match outcome {
             PromotionOutcome::Promoted(primary) => Some(primary),
-            PromotionOutcome::Abandoned => None,
+            PromotionOutcome::Abandoned => {
+                // While the promotion is recorded, another leader would do this in place of this one.
+                self.resume_replicas().await;
+                None
+            }
             // The promotion stays recorded, and the task of the current leader replaces it.
             PromotionOutcome::Unfinished => return,
         };
@@ -366,10 +438,19 @@
             fence;
             ""
         );
+        let promoted = primary.is_some();
         let end = DirectoryCommand::EndPromotion { group: self.group.clone(), fence, primary };
         // If this fails, the promotion stays recorded and is replaced by the next one.
         let _ = self.sources.node.submit(&end, "end of a promotion").await;
-        if snapshot.sync_replicas > 0 {
+        if promoted {
+            self.resume_replicas().await;
+        }
+    }
+
+    /// Lets the replicas of a group whose commits wait for them receive commits again.
+    async fn resume_replicas(&self) {
+        let Some(snapshot) = self.snapshot().await else { return };
+        if snapshot.waits_for_replicas() {
             let targets: Vec<&TargetReport> = snapshot.targets.iter().collect();
             self.request_rows(&targets, ControlRequest::Resume).await;
         }
@@ -377,45 +458,115 @@
 
     /// Polls the replicas until one can be chosen, and orders its promotion. `may_be_ordered` is set if an earlier
     /// promotion may have been ordered, in which case this one must not be abandoned.
-    async fn promote_candidate(
-        &mut self,
-        snapshot: &GroupSnapshot,
-        fence: u64,
-        may_be_ordered: bool,
-    ) -> PromotionOutcome {
+    async fn promote_candidate(&mut self, fence: u64, may_be_ordered: bool) -> PromotionOutcome {
+        let mut demoted = false;
         loop {
-            let Some(candidate) = self.select_candidate(snapshot).await else {
-                if !may_be_ordered && self.serves_again(snapshot).await {
+            // Targets join and leave while a promotion waits for a candidate.
+            let Some(snapshot) = self.snapshot().await else { return PromotionOutcome::Unfinished };
+            let mut choice = self.select_candidate(&snapshot).await;
+            if choice.is_none() && demoted {
+                choice = self.demoted_primary(&snapshot).await;
+            }
+            let Some(choice) = choice else {
+                if !may_be_ordered && self.serves_again(&snapshot).await {
                     return PromotionOutcome::Abandoned;
                 }
                 if !self.confirm_leadership().await {
                     return PromotionOutcome::Unfinished;
                 }
+                if !may_be_ordered && !demoted {
+                    // A replica that may be chosen can catch up with one that is leaving.
+                    self.resume_replicas().await;
+                }
                 sleep(RETRY_INTERVAL).await;
                 continue;
             };
-            let choice = DirectoryCommand::ChooseCandidate {
-                group: self.group.clone(),
-                fence,
-                candidate: candidate.target.clone(),
-            };
-            if self.sources.node.submit(&choice, "choice of a candidate").await.is_err() {
+            if snapshot.waits_for_replicas() && !demoted {
+                demoted = self.demote_primary(&snapshot, choice.pause_term).await;
+                if demoted {
+                    // Until now a target that has joined meanwhile may have confirmed commits.
+                    continue;
+                }
+            }
+            let candidate = choice.target.target.clone();
+            let command =
+                DirectoryCommand::ChooseCandidate { group: self.group.clone(), fence, candidate };
+            if self.sources.node.submit(&command, "choice of a candidate").await.is_err() {
                 return PromotionOutcome::Unfinished;
             }
-            return self.order_promotion(&candidate, fence).await;
+            // Ends with the promotion.
+            let mut joined = JoinSet::new();
+            if snapshot.waits_for_replicas() {
+                joined.spawn(self.joined_targets(&snapshot, choice.pause_term).run());
+            }
+            return self.order_promotion(&choice.target, fence).await;
+        }
+    }
+
+    /// Asks the recorded primary to stop acknowledging commits, if control reaches it; returns whether it has confirmed.
+    ///
+    /// Otherwise it confirms commits that the candidate lacks as soon as another target receives them.
+    async fn demote_primary(&self, snapshot: &GroupSnapshot, term: LogTerm) -> bool {
+        let Some(primary) = snapshot.primary() else { return false };
+        if self.probe.silent_since.is_some() {
+            return false;
+        }
+        let (node, protocol) = (&self.sources.node, &self.sources.protocol);
+        let begun = self.now();
+        let mut demoted = false;
+        while !demoted && self.now().since(begun) < DEMOTION_TIMEOUT {
+            let request = ControlRequest::Demote(term);
+            let row = request_row(protocol, &node.own.host, primary, request).await;
+            demoted = row.is_some_and(|row| row.role == TargetRole::Replica);
+            if !demoted {
+                sleep(RETRY_INTERVAL).await;
+            }
+        }
+        log::info!(
+            target: "event",
+            event:display = EventNumber::PrimaryDemoted,
+            group:display = self.group,
+            server:display = primary.target,
+            term = term.0,
+            demoted;
+            ""
+        );
+        demoted
+    }
+
+    /// Returns the demoted primary if it accepts work: it has every commit that it acknowledged.
+    async fn demoted_primary(&self, snapshot: &GroupSnapshot) -> Option<CandidateChoice> {
+        let target = snapshot.primary().filter(|report| report.state == TargetState::Ready)?;
+        let (node, protocol) = (&self.sources.node, &self.sources.protocol);
+        let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await?;
+        let pause_term = LogTerm(row.term.max(row.promised).0.saturating_add(1));
+        Some(CandidateChoice { target: target.clone(), pause_term })
+    }
+
+    fn joined_targets(&self, snapshot: &GroupSnapshot, pause_term: LogTerm) -> JoinedTargets<L, P> {
+        let mut paused = FastMap::default();
+        for report in &snapshot.targets {
+            paused.insert(report.target.clone(), report.order.incarnation);
+        }
+        let SupervisorSources { node, protocol, .. } = &self.sources;
+        JoinedTargets {
+            node: node.clone(),
+            protocol: protocol.clone(),
+            group: self.group.clone(),
+            pause_term,
+            paused,
         }
     }
 
     /// Chooses the replica with the highest received log position; returns `None` while that cannot be decided.
-    async fn select_candidate(&self, snapshot: &GroupSnapshot) -> Option<TargetReport> {
+    async fn select_candidate(&self, snapshot: &GroupSnapshot) -> Option<CandidateChoice> {
         let replicas = snapshot.replicas();
         let mut rows = self.request_rows(&replicas, ControlRequest::Position).await;
-        if snapshot.sync_replicas > 0 {
+        let newest = rows.iter().map(|(_, row)| row.term.max(row.promised)).max();
+        let pause_term = LogTerm(newest.unwrap_or_default().0.saturating_add(1));
+        if snapshot.waits_for_replicas() {
             // A paused replica receives no more commits, so its position cannot change after the choice.
-            let newest =
-                rows.iter().map(|(_, row)| row.term.max(row.promised).0).max().unwrap_or(0);
-            let request = ControlRequest::Pause(LogTerm(newest + 1));
-            rows = self.request_rows(&replicas, request).await;
+            rows = self.request_rows(&replicas, ControlRequest::Pause(pause_term)).await;
         }
         let mut answers = Vec::new();
         for (target, row) in rows {
@@ -435,7 +586,8 @@
             ""
         );
         let chosen = chosen?;
-        replicas.into_iter().find(|report| report.target == chosen).cloned()
+        let target = replicas.into_iter().find(|report| report.target == chosen)?.clone();
+        Some(CandidateChoice { target, pause_term })
     }
 
     /// Returns whether the recorded primary accepts new work and responds as primary.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -424,6 +424,17 @@
         None
     }
 
+    /// Returns the leader of a group as [`Self::leader`] does, but none whose commits may not be passed on.
+    pub(crate) fn writable_leader(
+        &self,
+        table: &RoutingTable,
+        group: &str,
+        refused: &[SharedName],
+    ) -> Option<Rc<TargetPool<P>>> {
+        let route = table.groups.get(group)?;
+        self.leader(table, group, refused).filter(|pool| route.may_acknowledge(&pool.target))
+    }
+
     /// Waits briefly for a change of the routing table, at most until `deadline`.
     pub(crate) async fn wait_for_change(&self, deadline: Micros) {
         let left = deadline.since(self.now()).as_duration();
--- a/crates/gateway/src/session/single.rs
+++ b/crates/gateway/src/session/single.rs
@@ -80,7 +80,8 @@
         let mut last = StatementFailure::new(FailureKind::NoPrimary);
         loop {
             let table = self.gateway.table();
-            let Some(pool) = self.gateway.leader(&table, &request.route.group, &refused) else {
+            let Some(pool) = self.gateway.writable_leader(&table, &request.route.group, &refused)
+            else {
                 refused.clear();
                 let (deadline, RouteRule { group, priority, .. }) =
                     (request.deadline, &*request.route);
@@ -93,8 +94,7 @@
             let sent_at = self.gateway.now();
             let failed = match self.try_write(&pool, request).await {
                 Ok(answer) => {
-                    self.record_commit(&request.route, true, sent_at, &answer);
-                    return Ok(answer);
+                    return self.acknowledge(&request.route, &pool.target, sent_at, answer);
                 }
                 Err(failed) => failed,
             };
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -16,6 +16,7 @@
         event::EventNumber,
         failure::FailureKind,
         gateway::{AttemptEnd, TargetError},
+        names::SharedName,
         time::Micros,
         transaction::TransactionStatus,
     },
@@ -116,7 +117,7 @@
         let mut last = StatementFailure::new(FailureKind::NoPrimary);
         loop {
             let table = self.gateway.table();
-            let Some(pool) = self.gateway.leader(&table, &route.group, &refused) else {
+            let Some(pool) = self.gateway.writable_leader(&table, &route.group, &refused) else {
                 refused.clear();
                 let RouteRule { group, priority, .. } = &**route;
                 let waited = self.gateway.wait_for_leader(group, deadline, *priority).await;
@@ -331,9 +332,12 @@
             };
             match answer.outcome.clone() {
                 Ok(_) => {
-                    self.record_commit(&open.route, open.on_primary, sent_at, &answer);
-                    self.log_end("committed", "ok");
-                    return Ok(answer);
+                    let result = self.finish_commit(&open, sent_at, answer);
+                    match &result {
+                        Ok(_) => self.log_end("committed", "ok"),
+                        Err(failure) => self.log_end("commit in doubt", failure.kind.name()),
+                    }
+                    return result;
                 }
                 Err((TargetError::Busy, _))
                     if answer.status == TransactionStatus::InTransaction
@@ -350,19 +354,51 @@
         }
     }
 
-    /// Raises the session floor and records a freshness mark of the group after a commit on the primary.
-    pub(super) fn record_commit(
+    /// Processes the success of a COMMIT.
+    fn finish_commit(
+        &mut self,
+        open: &OpenTransaction<P>,
+        sent_at: Micros,
+        answer: StatementAnswer,
+    ) -> StatementResult {
+        if open.on_primary {
+            return self.acknowledge(&open.route, &open.lease.pool().target, sent_at, answer);
+        }
+        Ok(answer)
+    }
+
+    /// Passes the success of a write or of the commit of one on: raises the session floor and records a freshness mark of
+    /// the group.
+    ///
+    /// # Errors
+    ///
+    /// Returns an unknown outcome if the primary is being replaced and the commit may be rolled back.
+    pub(super) fn acknowledge(
         &mut self,
         route: &RouteRule,
-        on_primary: bool,
+        target: &SharedName,
         sent_at: Micros,
-        answer: &StatementAnswer,
-    ) {
-        if !on_primary {
-            return;
+        answer: StatementAnswer,
+    ) -> StatementResult {
+        let table = self.gateway.table();
+        let group = table.groups.get(&route.group);
+        if group.is_some_and(|group| !group.may_acknowledge(target)) {
+            self.gateway.core.count("commits.doubted");
+            log::info!(
+            target: "request",
+            event:display = EventNumber::CommitDoubted,
+            request:display = String::from_utf8_lossy(&self.request),
+            session = self.number,
+            group:display = route.group,
+            server:display = target,
+            directory = table.version;
+            ""
+            );
+            return Err(StatementFailure::new(FailureKind::PrimaryReplaced));
         }
         self.floor = self.floor.max(answer.position);
         self.gateway.core.freshness(&route.group).record(sent_at, answer.position);
+        Ok(answer)
     }
 
     /// Rolls the transaction back; the caller does not wait for the target.
