fix(gateway): the COMMIT of a transaction that wrote nothing proves no lead

Cause: every successful COMMIT on a read-write connection became a freshness mark. A replaced primary refuses every statement of such a transaction but the COMMIT of one that wrote nothing, as the protocol says. The false mark also displaced the older marks of the new primary, whose positions are higher. Change: a COMMIT is a mark only if a write ran in its transaction. A mark of a lower term than one up to 10 s older is dropped (marks_of_a_lower_term_prove_nothing_for_a_while), so that marks of entries of an earlier version, which still record such commits and share them, do not displace those of the present primary. The session's floor follows such a COMMIT as before. Related: the other sources of marks (write, BEGIN, statement of a transaction, read in a transaction of its own) are refused by a replaced primary. No message or stored state changes.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -38,9 +38,9 @@
 
 /// Recent marks of one group, in ascending order of time.
 ///
-/// A mark may only come from a response that proves that its sender was the primary: a commit, or a statement
-/// inside a read-write transaction. The position of a replaced primary does not cover its successor's
-/// commits.
+/// A mark may only come from a response that proves that its sender was the primary: the commit of a write, or another
+/// statement inside a read-write transaction. The COMMIT of a transaction that wrote nothing proves it not, since a replaced
+/// primary accepts it as well. The position of a replaced primary does not cover its successor's commits.
 #[derive(Clone, Debug, Default)]
 pub struct FreshnessLog {
     marks: VecDeque<FreshnessMark>,
@@ -54,6 +54,16 @@
         if self.marks.iter().any(covered) {
             return;
         }
+        // A later response of a lower term comes from a replaced primary, whatever its sender took for a proof. After a while
+        // it can come from one that was promoted without the entries of that term.
+        let replaced = |kept: &FreshnessMark| {
+            kept.sent_at <= mark.sent_at
+                && kept.position.term > mark.position.term
+                && mark.sent_at.since(kept.sent_at) < MARK_RETENTION
+        };
+        if self.marks.iter().any(replaced) {
+            return;
+        }
         self.marks.retain(|kept| kept.sent_at > mark.sent_at || kept.position < mark.position);
         let index = self.marks.partition_point(|kept| kept.sent_at <= mark.sent_at);
         self.marks.insert(index, mark);
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -43,6 +43,23 @@
     assert_eq!(log.floor(ms(2_400), ms(300)), None, "no mark is recent enough");
 }
 
+// Guards against a mark of a replaced primary that another entry, possibly of an earlier version, took for one of the
+// present primary: it replaced the higher marks, and reads on the old primary counted as fresh.
+#[test]
+fn marks_of_a_lower_term_prove_nothing_for_a_while() {
+    let mut log = FreshnessLog::default();
+    log.record(mark_at(1_000, LogPosition::new(4, 210)));
+    log.record(mark_at(1_500, LogPosition::new(3, 205)));
+    assert_eq!(log.floor(ms(2_000), ms(1_000)), Some(LogPosition::new(4, 210)));
+    assert_eq!(log.floor(ms(2_000), ms(600)), None, "no mark is recent enough");
+    // A request that was sent before the promotion may be answered after one that was sent later.
+    log.record(mark_at(900, LogPosition::new(3, 204)));
+    assert_eq!(log.floor(ms(2_000), ms(1_100)), Some(LogPosition::new(3, 204)));
+    // A server that lacks the entries of term 4 may have been promoted since.
+    log.record(mark_at(12_000, LogPosition::new(3, 205)));
+    assert_eq!(log.floor(ms(12_000), ms(500)), Some(LogPosition::new(3, 205)));
+}
+
 // Guards against commits that are passed on although a promotion rolls them back: where commits wait for replicas, those of a
 // primary that is being replaced, or was, count for nothing.
 #[test]
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -20,7 +20,7 @@
         time::Micros,
         transaction::TransactionStatus,
     },
-    banyansill_target::{StatementAnswer, StatementProtocol, TargetRequest},
+    banyansill_target::{StatementAccess, StatementAnswer, StatementProtocol, TargetRequest},
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -58,6 +58,9 @@
     pub(super) route: Arc<RouteRule>,
     /// Whether the transaction runs on the primary, whose responses then prove their freshness.
     on_primary: bool,
+    /// Whether a write has run in the transaction: only then does the success of its COMMIT prove that the target is the
+    /// primary.
+    has_written: bool,
     /// Time after which the transaction is ended if the caller is idle; zero disables the timeout.
     pub(super) idle_timeout: Micros,
 }
@@ -97,7 +100,13 @@
         self.transaction = match opened {
             Ok(lease) => {
                 let idle_timeout = self.gateway.table().limits.idle_transaction;
-                let open = OpenTransaction { lease, route, on_primary: !replica, idle_timeout };
+                let open = OpenTransaction {
+                    lease,
+                    route,
+                    on_primary: !replica,
+                    has_written: false,
+                    idle_timeout,
+                };
                 TransactionState::Open(Box::new(open))
             }
             Err(failure) => {
@@ -253,6 +262,7 @@
         open.lease.release_slot();
         if open.on_primary && answer.outcome.is_ok() {
             self.gateway.core.freshness(&open.route.group).record(sent_at, answer.position);
+            open.has_written |= request.access == StatementAccess::Write;
         }
         match answer.outcome.clone() {
             Ok(_) if answer.status == TransactionStatus::InTransaction => {
@@ -355,15 +365,20 @@
     }
 
     /// Processes the success of a COMMIT.
+    ///
+    /// A replaced primary still commits a transaction that has not written, so such a commit proves nothing about it.
     fn finish_commit(
         &mut self,
         open: &OpenTransaction<P>,
         sent_at: Micros,
         answer: StatementAnswer,
     ) -> StatementResult {
-        if open.on_primary {
+        if open.has_written {
             return self.acknowledge(&open.route, &open.lease.pool().target, sent_at, answer);
         }
+        if open.on_primary {
+            self.floor = self.floor.max(answer.position);
+        }
         Ok(answer)
     }
 
