fix(core, directory, platform): odd entries of another writer stop no gateway

Cause: a report was recorded if its JSON had the right types. A list above the 16 MB of a message cannot be followed; a start time or sequence number up to 2^64-1 hides all later reports of the live server with that identifier, or removes the one with that address; slots 0 and and port 0 went to every gateway. Durations of a configuration overflowed when they were multiplied (2^61 ms became 0; in a debug build the request panicked), and so did shares of connections. Deep nesting, ports above 65535, fractions, negative numbers and 1e400 were handled before. Change: TargetReport::check bounds names, slots, address, start time and sequence number before a report is proposed (400, BS308 in bounded words); at most 1,024 targets of groups without a rule; odd reports that are stored are sent to no follower and used for no promotion; reports of a target whose stored order is out of range are proposed with an order after it. How a command is applied is unchanged, since replicas of both builds apply one log.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -25,7 +25,10 @@
         PromotionRecord,
     },
     stream_registry::{StreamNumber, StreamRegistry},
-    targets::{DepartedTarget, ReportOrder, TargetReport, TargetState},
+    targets::{
+        DepartedTarget, MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, ReportFault, ReportOrder,
+        TargetReport, TargetState,
+    },
     teams::{KeyDigest, TeamLimit, TeamRule},
     update::{DirectoryUpdate, GroupView},
 };
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -4,7 +4,7 @@
     super::{
         command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
         routes::{ActiveRoutes, RouteDraft},
-        targets::{DepartedTarget, TargetReport},
+        targets::{DepartedTarget, ReportFault, TargetReport},
     },
     crate::{
         change::{ChangeList, ChangeSet},
@@ -22,6 +22,9 @@
 /// hours.
 const MAX_DEPARTED: usize = 1_024;
 
+/// Maximum number of targets of groups without a rule: servers of a service that is about to be configured, or was.
+const MAX_UNKNOWN_TARGETS: usize = 1_024;
+
 /// Host, address and zone of a process.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProcessHost {
@@ -134,6 +137,42 @@
         &self.data.targets
     }
 
+    /// Returns the targets whose reports may be sent to followers and used; earlier versions recorded any report.
+    pub fn usable_targets(&self) -> impl Iterator<Item = &TargetReport> {
+        self.data.targets.values().filter(|report| report.check_content().is_ok())
+    }
+
+    /// Returns the report as it is to be proposed, or `None` if recording it would not change the directory.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the report must not be recorded.
+    pub fn admit(&self, report: TargetReport) -> Result<Option<TargetReport>, ReportFault> {
+        report.check()?;
+        let report = match self.data.targets.get(&report.target) {
+            Some(recorded) => report.following(recorded.order),
+            None => {
+                self.check_unknown(&report)?;
+                report
+            }
+        };
+        Ok(self.would_change(&report).then_some(report))
+    }
+
+    /// Bounds the targets that belong to no group of the routes.
+    fn check_unknown(&self, report: &TargetReport) -> Result<(), ReportFault> {
+        let groups = &self.data.book.groups;
+        if self.data.book.version == 0 || groups.contains_key(&report.group) {
+            return Ok(());
+        }
+        let unknown = self.data.targets.values().filter(|known| !groups.contains_key(&known.group));
+        if unknown.count() < MAX_UNKNOWN_TARGETS {
+            Ok(())
+        } else {
+            Err(ReportFault::TooManyUnknown)
+        }
+    }
+
     /// Returns the groups that have or had a primary.
     #[must_use]
     pub const fn groups(&self) -> &BTreeMap<SharedName, GroupRecord> {
--- a/crates/core/src/directory/update.rs
+++ b/crates/core/src/directory/update.rs
@@ -87,7 +87,7 @@
         update.routes = self.routes().routes.values().cloned().collect();
         update.rules = self.routes().groups.values().cloned().collect();
         update.teams = self.routes().teams.values().cloned().collect();
-        update.targets = self.targets().values().cloned().collect();
+        update.targets = self.usable_targets().cloned().collect();
         update.entries = self.entries().values().cloned().collect();
         update.controls = self.controls().values().cloned().collect();
         for group in self.groups().keys() {
@@ -111,8 +111,10 @@
                 None => update.removed_teams.push(name),
             },
             DirectoryItem::Target(name) => match self.targets().get(&name) {
-                Some(report) => update.targets.push(report.clone()),
-                None => update.removed_targets.push(name),
+                Some(report) if report.check_content().is_ok() => {
+                    update.targets.push(report.clone());
+                }
+                _ => update.removed_targets.push(name),
             },
             DirectoryItem::Group(name) => update.groups.push(self.group_view(&name)),
             DirectoryItem::Entry(name) => match self.entries().get(&name) {
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -114,7 +114,7 @@
         (false, true) => PRIMARY_USED_PERCENT,
         (false, false) => REPLICA_USED_PERCENT,
     };
-    rule.connections * percent / 100
+    rule.connections / 100 * percent + rule.connections % 100 * percent / 100
 }
 
 /// Returns the share of the entry `own` in a target's connections.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -19,16 +19,16 @@
     /// Zero duration, or the origin of the clock.
     pub const ZERO: Self = Self(0);
 
-    /// Creates a duration from milliseconds.
+    /// Creates a duration from milliseconds; a duration out of range becomes the longest one.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
-    /// Creates a duration from seconds.
+    /// Creates a duration from seconds; a duration out of range becomes the longest one.
     #[must_use]
     pub const fn from_secs(seconds: u64) -> Self {
-        Self(seconds * 1_000_000)
+        Self(seconds.saturating_mul(1_000_000))
     }
 
     /// Returns the number of whole milliseconds, rounded down.
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -8,11 +8,13 @@
     },
     directory::{
         CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, GroupRule,
-        PrimaryEvidence, PrimaryVerdict, ProcessHost, ProcessKind, ReadRule, ReportOrder,
-        RouteDraft, RouteFault, RouteRule, TargetReport, TargetState, choose_candidate,
+        MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, PrimaryEvidence, PrimaryVerdict, ProcessHost,
+        ProcessKind, ReadRule, ReportFault, ReportOrder, RouteDraft, RouteFault, RouteRule,
+        TargetReport, TargetState, choose_candidate,
     },
     gateway::RoutingTable,
     log_rate_limit::LogRateLimiter,
+    names::SharedName,
     position::LogPosition,
     route::TargetRole,
     state_machine::StateMachine,
@@ -335,6 +337,101 @@
     assert_eq!(choose_candidate(&answers[..2], 3, 2).as_deref(), Some("b"));
 }
 
+/// Records a report without a check, as earlier versions did.
+fn record(state: &mut DirectoryState, index: u64, report: TargetReport) -> DirectoryReply {
+    state.apply(index, &DirectoryCommand::RecordTarget { report }.encode())
+}
+
+// Guards against reports of other writers that take too much room, cannot be used, or hide what a target reports later.
+#[test]
+fn reports_that_no_target_sends_are_refused() {
+    let state = DirectoryState::default();
+    let long = SharedName::from("z".repeat(MAX_REPORT_NAME_BYTES + 1));
+    let order = |incarnation, sequence| ReportOrder { incarnation, sequence };
+    let good = || report("a", 1);
+    let cases = [
+        (TargetReport { target: long.clone(), ..good() }, ReportFault::NameLength),
+        (TargetReport { group: "".into(), ..good() }, ReportFault::NameLength),
+        (TargetReport { zone: long, ..good() }, ReportFault::NameLength),
+        (TargetReport { address: "10.0.0.1:0".into(), ..good() }, ReportFault::Address),
+        (TargetReport { address: "10.0.0.1:70000".into(), ..good() }, ReportFault::Address),
+        (TargetReport { slots: 0, ..good() }, ReportFault::Slots),
+        (TargetReport { slots: MAX_TARGET_SLOTS + 1, ..good() }, ReportFault::Slots),
+        (TargetReport { order: order(u64::MAX, 1), ..good() }, ReportFault::Order),
+        (TargetReport { order: order(7, u64::MAX), ..good() }, ReportFault::Order),
+    ];
+    for (odd, fault) in cases {
+        assert_eq!(state.admit(odd.clone()), Err(fault), "{odd:?}");
+    }
+    assert_eq!(state.admit(good()), Ok(Some(good())));
+}
+
+// Guards against a directory that grows with every name that another writer makes up.
+#[test]
+fn targets_of_unknown_groups_are_bounded() {
+    let mut state = DirectoryState::default();
+    let command =
+        DirectoryCommand::ApplyRoutes { draft: draft(1, &["d"]), document: "{}".to_owned().into() };
+    state.apply(1, &command.encode());
+    let unknown = |number: u64| TargetReport {
+        group: "elsewhere".into(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250).into(),
+        ..report(&format!("u{number}"), 1)
+    };
+    let mut recorded = 0;
+    for number in 0..3_000 {
+        match state.admit(unknown(number)) {
+            Ok(Some(report)) => {
+                record(&mut state, 2 + number, report);
+                recorded += 1;
+            }
+            refused => assert_eq!(refused, Err(ReportFault::TooManyUnknown)),
+        }
+    }
+    assert!(recorded < 2_000, "{recorded}");
+    let later = TargetReport { state: TargetState::Draining, ..unknown(0) };
+    let later = TargetReport { order: ReportOrder { incarnation: 7, sequence: 2 }, ..later };
+    assert_eq!(state.admit(later.clone()), Ok(Some(later)), "one that is recorded");
+    assert_eq!(state.admit(report("a", 1)), Ok(Some(report("a", 1))), "of a known group");
+}
+
+// Guards against followers that cannot use or take an update because an earlier version recorded an odd report, also from a
+// snapshot.
+#[test]
+fn odd_reports_that_are_stored_stay_away_from_followers() {
+    let mut state = DirectoryState::default();
+    record(&mut state, 1, report("a", 1));
+    let since = state.version();
+    record(&mut state, 2, TargetReport { zone: "z".repeat(1 << 20).into(), ..report("long", 1) });
+    record(&mut state, 3, TargetReport { slots: 0, ..report("no-slots", 1) });
+    record(&mut state, 4, TargetReport { address: "x".into(), ..report("nowhere", 1) });
+    let later = state.update_since(since).expect("changes");
+    assert!(later.targets.is_empty(), "{:?}", later.targets.len());
+    let mut restored = DirectoryState::default();
+    restored.restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored.targets().len(), 4);
+    let whole = restored.update_since(0).expect("changes");
+    assert_eq!(whole.targets, [report("a", 1)]);
+}
+
+// Guards against a target whose reports are ignored for good because an earlier version recorded one with an order that it
+// never reaches. All replicas apply the proposed report by the rule that they always had.
+#[test]
+fn reports_follow_an_order_that_is_out_of_range() {
+    let orders = [(7, u64::MAX), (u64::MAX, 4), (u64::MAX - 1, u64::MAX), (1 << 63, 0)];
+    for (incarnation, sequence) in orders {
+        let mut state = DirectoryState::default();
+        let order = ReportOrder { incarnation, sequence };
+        record(&mut state, 1, TargetReport { order, ..report("a", 0) });
+        for (index, target_state) in [(2, TargetState::Draining), (3, TargetState::Ready)] {
+            let live = TargetReport { state: target_state, ..report("a", index) };
+            let proposed = state.admit(live).expect("valid").expect("a change");
+            record(&mut state, index, proposed);
+            assert_eq!(state.targets()["a"].state, target_state, "{order:?}");
+        }
+    }
+}
+
 fn member(host: &str, identity: u64, silent: u64) -> MemberContact {
     let record = MemberRecord {
         host: host.into(),
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -5,7 +5,7 @@
     banyansill_core::{
         directory::{
             DirectoryCommand, DirectoryRejection, DirectoryReply, DirectoryState, ProcessHost,
-            RouteDraft, RouteFault, TargetReport,
+            ReportFault, RouteDraft, RouteFault, TargetReport,
         },
         event::EventNumber,
         log_rate_limit::LogRateLimiter,
@@ -33,6 +33,9 @@
     /// The directory rejects the command.
     #[error(transparent)]
     Rejected(#[from] DirectoryRejection),
+    /// The report of a target is not one that a target sends.
+    #[error(transparent)]
+    InvalidReport(#[from] ReportFault),
 }
 
 impl From<LogError> for DirectoryError {
@@ -143,13 +146,11 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the report changes the directory and it is not certain that it was recorded.
+    /// Returns an error if the report is invalid, or if it changes the directory and it is not certain that it was
+    /// recorded.
     pub async fn record_target(&self, report: TargetReport) -> Result<(), DirectoryError> {
-        let candidate = report.clone();
-        let would_change = self.log.inspect(move |state| state.would_change(&candidate)).await?;
-        if !would_change {
-            return Ok(());
-        }
+        let admitted = self.log.inspect(move |state| state.admit(report)).await??;
+        let Some(report) = admitted else { return Ok(()) };
         let command = DirectoryCommand::RecordTarget { report: report.clone() };
         if self.change(&command, "target report").await? {
             log::info!(
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -134,8 +134,7 @@
         Self {
             record: state.groups().get(group).cloned().unwrap_or_default(),
             targets: state
-                .targets()
-                .values()
+                .usable_targets()
                 .filter(|report| report.group == *group)
                 .cloned()
                 .collect(),
