fix(gateway): values in a transaction time out

Cause: set_in_transaction awaited the answer without a limit. Evidence: values_in_a_transaction_time_out fails before: no reply within the 8 s that the test's caller waits. Change: the values have the time of a statement of the transaction, then its connection is closed and the transaction is lost. Result: the test passes (0.7 s).

--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -65,6 +65,17 @@
     pub(super) idle_timeout: Micros,
 }
 
+impl<P> OpenTransaction<P>
+where
+    P: StatementProtocol,
+{
+    /// Returns the time without a response after which a request of the transaction counts as lost.
+    fn lost_timeout(&self) -> Micros {
+        let latency = self.lease.pool().health().latency();
+        Micros(latency.0 * LOST_LATENCY_FACTOR).max(MIN_LOST_TIMEOUT)
+    }
+}
+
 impl<P> CallerSession<P>
 where
     P: StatementProtocol,
@@ -232,9 +243,8 @@
         let sent_at = self.gateway.now();
         let answer = loop {
             trace.attempts += 1;
-            let latency = open.lease.pool().health().latency();
-            let lost_timeout = Micros(latency.0 * LOST_LATENCY_FACTOR).max(MIN_LOST_TIMEOUT);
-            let left = request.deadline.since(self.gateway.now()).min(lost_timeout).as_duration();
+            let left = request.deadline.since(self.gateway.now());
+            let left = left.min(open.lost_timeout()).as_duration();
             // Nothing of a transaction is kept before its commit, so it does not matter what was sent.
             let mut sent = false;
             let attempt = timeout(
@@ -429,14 +439,24 @@
         self.complete_locally()
     }
 
-    /// Applies new session values to the connection of an open transaction.
+    /// Applies new session values to the connection of an open transaction, within the time that a statement of it has.
     pub(super) async fn set_in_transaction(&mut self) {
-        if let TransactionState::Open(open) = &mut self.transaction
-            && open.lease.pooled.add_values(&self.values).await.is_err()
-        {
-            let failure = StatementFailure::new(FailureKind::TransactionLost);
-            self.transaction = TransactionState::PendingFailure(failure);
-        }
+        let TransactionState::Open(open) = &mut self.transaction else { return };
+        let now = self.gateway.now();
+        let left = statement_deadline(&open.route, now).since(now);
+        let limit = left.min(open.lost_timeout()).as_duration();
+        let added = timeout(limit, open.lease.pooled.add_values(&self.values)).await;
+        let reason = match added {
+            Ok(Ok(())) => return,
+            Ok(Err(_)) => "lost",
+            Err(_) => {
+                open.lease.pooled.connection.close();
+                "silent"
+            }
+        };
+        let kind = FailureKind::TransactionLost;
+        self.log_end(reason, kind.name());
+        self.transaction = TransactionState::PendingFailure(StatementFailure::new(kind));
     }
 
     /// Rolls back an open transaction whose next statement may not run.
