fix(directory): a new leader keeps the promotion that a lost one ordered

Callers saw: after the loss of a primary and then of the leader of control, two changes of primary; where commits do not wait for replicas, the second one rolls back what the first new primary acknowledged. Cause: the next leader replaced the unfinished promotion under a new fencing number, but chose among the replicas afresh. Once the ordered target had reported itself as primary, it was taken for the one to be replaced and left out. Change: the target whose promotion another leader may have ordered is recorded at once if it is the primary, and else comes first, unless it does not respond, is leaving or lacks commits that must not be lost (keep_ordered). An own attempt that did not finish leads to a fresh choice as before. The leadership is confirmed before a primary is asked to step down. No message or stored state changes.

--- a/crates/core/src/directory/failover.rs
+++ b/crates/core/src/directory/failover.rs
@@ -150,3 +150,23 @@
     }
     best.map(|answer| answer.target.clone())
 }
+
+/// Returns the replica to promote if another leader may have ordered the promotion of `ordered`; `best` is the choice without
+/// that.
+///
+/// The platform may carry the order out at any time, and a second change of primary would roll back what the first one has
+/// acknowledged since. It is not kept if `best` has commits that must not be lost and that `ordered` lacks.
+#[must_use]
+pub fn keep_ordered(
+    best: SharedName,
+    ordered: Option<&SharedName>,
+    answers: &[CandidateAnswer],
+    sync_replicas: u32,
+) -> SharedName {
+    let answer_of = |name: &SharedName| answers.iter().find(|answer| answer.target == *name);
+    let (Some(best_answer), Some(answer)) = (answer_of(&best), ordered.and_then(answer_of)) else {
+        return best;
+    };
+    let lacks_commits = sync_replicas > 0 && answer.received < best_answer.received;
+    if answer.eligible && !lacks_commits { answer.target.clone() } else { best }
+}
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -17,7 +17,7 @@
     command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
     failover::{
         AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, PrimaryEvidence, PrimaryVerdict,
-        VANISHED_ENTRY_TTL, choose_candidate,
+        VANISHED_ENTRY_TTL, choose_candidate, keep_ordered,
     },
     routes::{ActiveRoutes, GroupRule, ReadRule, RouteDraft, RouteFault, RouteLimits, RouteRule},
     state::{
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -10,7 +10,7 @@
         CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, GroupRule,
         MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, PrimaryEvidence, PrimaryVerdict, ProcessHost,
         ProcessKind, ReadRule, ReportFault, ReportOrder, RouteDraft, RouteFault, RouteRule,
-        TargetReport, TargetState, choose_candidate,
+        TargetReport, TargetState, choose_candidate, keep_ordered,
     },
     gateway::RoutingTable,
     log_rate_limit::LogRateLimiter,
@@ -337,6 +337,28 @@
     assert_eq!(choose_candidate(&answers[..2], 3, 2).as_deref(), Some("b"));
 }
 
+// Guards against a second change of primary because the leader that ordered the first one is lost, and against keeping an
+// order that loses commits which a replica confirmed.
+#[test]
+fn the_order_of_a_lost_leader_is_kept() {
+    let answer = |target: &str, offset, eligible| CandidateAnswer {
+        target: target.into(),
+        received: LogPosition::new(1, offset),
+        eligible,
+    };
+    let answers =
+        [answer("a", 5, true), answer("b", 9, true), answer("c", 9, true), answer("d", 9, false)];
+    let kept = |ordered: &str, sync_replicas| {
+        keep_ordered("b".into(), Some(&ordered.into()), &answers, sync_replicas).to_string()
+    };
+    assert_eq!(kept("a", 0), "a");
+    assert_eq!(kept("a", 1), "b", "it lacks commits that the group must not lose");
+    assert_eq!(kept("c", 1), "c");
+    assert_eq!(kept("d", 0), "b", "it is leaving");
+    assert_eq!(kept("gone", 0), "b", "it does not respond");
+    assert_eq!(&*keep_ordered("b".into(), None, &answers, 0), "b");
+}
+
 /// Records a report without a check, as earlier versions did.
 fn record(state: &mut DirectoryState, index: u64, report: TargetReport) -> DirectoryReply {
     state.apply(index, &DirectoryCommand::RecordTarget { report }.encode())
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -12,7 +12,7 @@
         directory::{
             AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, GroupRecord,
             PrimaryEvidence, PrimaryVerdict, ProcessHost, TargetReport, TargetState,
-            choose_candidate,
+            choose_candidate, keep_ordered,
         },
         event::EventNumber,
         gateway::{ConnectionRule, direct_entries},
@@ -181,13 +181,36 @@
     no_primary_since: Option<Micros>,
 }
 
-/// Replica to promote.
+/// What a promotion is about to do.
+struct PromotionPlan {
+    fence: u64,
+    /// Whether an earlier promotion that this one replaces may have been ordered.
+    may_be_ordered: bool,
+    /// Primary that is replaced.
+    replaced: Option<SharedName>,
+    /// Target whose promotion another leader may have ordered.
+    ordered: Option<SharedName>,
+}
+
+/// Target to promote.
 struct CandidateChoice {
     target: TargetReport,
-    /// Term under which the replicas were paused, above every term that they know.
+    /// Term under which replicas are paused, above every term that they know.
     pause_term: LogTerm,
 }
 
+impl CandidateChoice {
+    fn new(target: &TargetReport, rows: &[ProbeRow]) -> Self {
+        Self { target: target.clone(), pause_term: next_term(rows) }
+    }
+}
+
+/// Returns a term above every one that the targets know.
+fn next_term(rows: &[ProbeRow]) -> LogTerm {
+    let newest = rows.iter().map(|row| row.term.max(row.promised)).max();
+    LogTerm(newest.unwrap_or_default().0.saturating_add(1))
+}
+
 /// Targets that join a group, or restart, while one of its replicas is being promoted.
 ///
 /// Each that receives commits lets the old primary confirm them, although the candidate lacks them.
@@ -275,11 +298,10 @@
     async fn run(mut self) {
         loop {
             let Some(snapshot) = self.snapshot().await else { return };
-            if let Some(pending) = &snapshot.record.promotion {
+            if snapshot.record.promotion.is_some() {
                 // The platform may still carry out its order, so it is replaced by another promotion and never
                 // just dropped.
-                let fence = pending.fence;
-                self.change_primary(&snapshot, fence).await;
+                self.change_primary(&snapshot).await;
                 continue;
             }
             let pause = match snapshot.primary() {
@@ -345,7 +367,7 @@
             PrimaryVerdict::Serving => PROBE_INTERVAL,
             PrimaryVerdict::Doubtful => DOUBTFUL_PROBE_INTERVAL,
             PrimaryVerdict::Lost | PrimaryVerdict::Leaving => {
-                self.change_primary(snapshot, 0).await;
+                self.change_primary(snapshot).await;
                 DOUBTFUL_PROBE_INTERVAL
             }
         }
@@ -375,7 +397,7 @@
             return PROBE_INTERVAL;
         }
         if !snapshot.targets.is_empty() && self.now().since(since) >= ADOPTION_TIMEOUT {
-            self.change_primary(snapshot, 0).await;
+            self.change_primary(snapshot).await;
         }
         PROBE_INTERVAL
     }
@@ -398,17 +420,30 @@
         requests.join_all().await.into_iter().flatten().collect()
     }
 
-    /// Carries out a promotion under a new fencing number; `replaces` is the fencing number of an unfinished
-    /// promotion that this one replaces, or 0.
-    async fn change_primary(&mut self, snapshot: &GroupSnapshot, replaces: u64) {
+    /// Carries out a promotion under a new fencing number, which replaces the unfinished one if there is one.
+    async fn change_primary(&mut self, snapshot: &GroupSnapshot) {
+        let pending = snapshot.record.promotion.clone();
+        let holder = self.sources.node.own.host.clone();
+        let replaces = pending.as_ref().map_or(0, |pending| pending.fence);
         let begin = DirectoryCommand::BeginPromotion {
             group: self.group.clone(),
-            holder: self.sources.node.own.host.clone(),
+            holder: holder.clone(),
             replaces,
         };
         let Ok((fence, _)) = self.sources.node.submit(&begin, "start of a promotion").await else {
             return;
         };
+        // The order of a lost leader may take effect at any time. An own attempt that did not finish has shown that its
+        // candidate does not become primary.
+        let ordered = pending
+            .filter(|pending| pending.holder != holder)
+            .and_then(|pending| pending.candidate);
+        let plan = PromotionPlan {
+            fence,
+            may_be_ordered: replaces > 0,
+            replaced: snapshot.record.primary.clone().filter(|name| ordered.as_ref() != Some(name)),
+            ordered,
+        };
         log::info!(
             target: "event",
             event:display = EventNumber::PromotionBegun,
@@ -418,7 +453,7 @@
             replaces;
             ""
         );
-        let outcome = self.promote_candidate(fence, replaces > 0).await;
+        let outcome = self.promote_candidate(&plan).await;
         let primary = match outcome {
             PromotionOutcome::Promoted(primary) => Some(primary),
             PromotionOutcome::Abandoned => {
@@ -455,25 +490,31 @@
         }
     }
 
-    /// Polls the replicas until one can be chosen, and orders its promotion. `may_be_ordered` is set if an earlier
-    /// promotion may have been ordered, in which case this one must not be abandoned.
-    async fn promote_candidate(&mut self, fence: u64, may_be_ordered: bool) -> PromotionOutcome {
+    /// Polls the replicas until one can be chosen, and orders its promotion. Without an earlier order, the promotion is
+    /// abandoned if the old primary serves again.
+    async fn promote_candidate(&mut self, plan: &PromotionPlan) -> PromotionOutcome {
         let mut demoted = false;
         loop {
             // Targets join and leave while a promotion waits for a candidate.
-            let Some(snapshot) = self.snapshot().await else { return PromotionOutcome::Unfinished };
-            let mut choice = self.select_candidate(&snapshot).await;
+            let Some(mut snapshot) = self.snapshot().await else {
+                return PromotionOutcome::Unfinished;
+            };
+            snapshot.record.primary.clone_from(&plan.replaced);
+            if let Some(choice) = self.ordered_primary(plan, &snapshot).await {
+                return self.order_choice(choice, plan.fence, &snapshot).await;
+            }
+            let mut choice = self.select_candidate(&snapshot, plan.ordered.as_ref()).await;
             if choice.is_none() && demoted {
                 choice = self.demoted_primary(&snapshot).await;
             }
             let Some(choice) = choice else {
-                if !may_be_ordered && self.serves_again(&snapshot).await {
+                if !plan.may_be_ordered && self.serves_again(&snapshot).await {
                     return PromotionOutcome::Abandoned;
                 }
                 if !self.confirm_leadership().await {
                     return PromotionOutcome::Unfinished;
                 }
-                if !may_be_ordered && !demoted {
+                if !plan.may_be_ordered && !demoted {
                     // A replica that may be chosen can catch up with one that is leaving.
                     self.resume_replicas().await;
                 }
@@ -487,19 +528,42 @@
                     continue;
                 }
             }
-            let candidate = choice.target.target.clone();
-            let command =
-                DirectoryCommand::ChooseCandidate { group: self.group.clone(), fence, candidate };
-            if self.sources.node.submit(&command, "choice of a candidate").await.is_err() {
-                return PromotionOutcome::Unfinished;
-            }
-            // Ends with the promotion.
-            let mut joined = JoinSet::new();
-            if snapshot.waits_for_replicas() {
-                joined.spawn(self.joined_targets(&snapshot, choice.pause_term).run());
-            }
-            return self.order_promotion(&choice.target, fence).await;
+            return self.order_choice(choice, plan.fence, &snapshot).await;
+        }
+    }
+
+    /// Records the choice, and orders the promotion.
+    async fn order_choice(
+        &mut self,
+        choice: CandidateChoice,
+        fence: u64,
+        snapshot: &GroupSnapshot,
+    ) -> PromotionOutcome {
+        let candidate = choice.target.target.clone();
+        let command =
+            DirectoryCommand::ChooseCandidate { group: self.group.clone(), fence, candidate };
+        if self.sources.node.submit(&command, "choice of a candidate").await.is_err() {
+            return PromotionOutcome::Unfinished;
+        }
+        // Ends with the promotion.
+        let mut joined = JoinSet::new();
+        if snapshot.waits_for_replicas() {
+            joined.spawn(self.joined_targets(snapshot, choice.pause_term).run());
         }
+        self.order_promotion(&choice.target, fence).await
+    }
+
+    /// Returns the target that a lost leader ordered to be promoted, if it is the primary by now.
+    async fn ordered_primary(
+        &self,
+        plan: &PromotionPlan,
+        snapshot: &GroupSnapshot,
+    ) -> Option<CandidateChoice> {
+        let ordered = plan.ordered.as_ref()?;
+        let target = snapshot.targets.iter().find(|report| report.target == *ordered)?;
+        let (node, protocol) = (&self.sources.node, &self.sources.protocol);
+        let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await?;
+        (row.role == TargetRole::Primary).then(|| CandidateChoice::new(target, &[row]))
     }
 
     /// Asks the recorded primary to stop acknowledging commits, if control reaches it; returns whether it has confirmed.
@@ -507,7 +571,8 @@
     /// Otherwise it confirms commits that the candidate lacks as soon as another target receives them.
     async fn demote_primary(&self, snapshot: &GroupSnapshot, term: LogTerm) -> bool {
         let Some(primary) = snapshot.primary() else { return false };
-        if self.probe.silent_since.is_some() {
+        // A leader that was suspended must not demote the primary of a later one.
+        if self.probe.silent_since.is_some() || !self.confirm_leadership().await {
             return false;
         }
         let (node, protocol) = (&self.sources.node, &self.sources.protocol);
@@ -538,8 +603,7 @@
         let target = snapshot.primary().filter(|report| report.state == TargetState::Ready)?;
         let (node, protocol) = (&self.sources.node, &self.sources.protocol);
         let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await?;
-        let pause_term = LogTerm(row.term.max(row.promised).0.saturating_add(1));
-        Some(CandidateChoice { target: target.clone(), pause_term })
+        Some(CandidateChoice::new(target, &[row]))
     }
 
     fn joined_targets(&self, snapshot: &GroupSnapshot, pause_term: LogTerm) -> JoinedTargets<L, P> {
@@ -558,11 +622,17 @@
     }
 
     /// Chooses the replica with the highest received log position; returns `None` while that cannot be decided.
-    async fn select_candidate(&self, snapshot: &GroupSnapshot) -> Option<CandidateChoice> {
+    ///
+    /// The one that another leader may have ordered comes first: its promotion may take effect in any case.
+    async fn select_candidate(
+        &self,
+        snapshot: &GroupSnapshot,
+        ordered: Option<&SharedName>,
+    ) -> Option<CandidateChoice> {
         let replicas = snapshot.replicas();
         let mut rows = self.request_rows(&replicas, ControlRequest::Position).await;
-        let newest = rows.iter().map(|(_, row)| row.term.max(row.promised)).max();
-        let pause_term = LogTerm(newest.unwrap_or_default().0.saturating_add(1));
+        let positions: Vec<ProbeRow> = rows.iter().map(|(_, row)| *row).collect();
+        let pause_term = next_term(&positions);
         if snapshot.waits_for_replicas() {
             // A paused replica receives no more commits, so its position cannot change after the choice.
             rows = self.request_rows(&replicas, ControlRequest::Pause(pause_term)).await;
@@ -574,7 +644,8 @@
             answers.push(CandidateAnswer { target, received: row.received, eligible });
         }
         answers.sort_by(|left, right| left.target.cmp(&right.target));
-        let chosen = choose_candidate(&answers, replicas.len(), snapshot.sync_replicas);
+        let chosen = choose_candidate(&answers, replicas.len(), snapshot.sync_replicas)
+            .map(|best| keep_ordered(best, ordered, &answers, snapshot.sync_replicas));
         log::info!(
             target: "event",
             event:display = EventNumber::CandidateChosen,
