test(testkit): say which address a server could not bind, and who has its port

Change: a stand-in names the address; the wait for it looks the port up in the system's table of sockets as soon as the start has failed.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -34,14 +34,21 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| {
+        io::Error::new(error.kind(), format!("cannot listen on {address}: {error}"))
+    })
+}
+
 /// Binds the addresses of a server and starts it.
 ///
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
 pub async fn spawn(settings: StandinSettings) -> io::Result<ServerHandle> {
-    let callers = TcpListener::bind(settings.listen).await?;
-    let replicas = TcpListener::bind(settings.replication_listen).await?;
+    let callers = bind(settings.listen).await?;
+    let replicas = bind(settings.replication_listen).await?;
     let addresses =
         ServerAddresses { callers: callers.local_addr()?, replication: replicas.local_addr()? };
     let shared = Arc::new(SharedServer::new(settings, addresses));
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         inspect::target_status,
-        process::{TestProcess, free_address},
+        process::{TestProcess, free_address, port_holders},
         proxy::FaultProxy,
     },
     banyansill_wire::v1::{ApplySheetReply, ApplySheetRequest, control_client::ControlClient},
@@ -229,10 +229,19 @@
     /// once the others leave.
     async fn wait_target(&self, target: &TestTarget) -> io::Result<()> {
         let end = Instant::now() + READY_LIMIT;
+        // Whoever took the port may be gone at the end.
+        let mut holders = None;
         while connect(target.address, "test").await.is_err() {
+            let log = fs::read_to_string(target.process.log()).unwrap_or_default();
+            if holders.is_none() && log.contains("os error 98") {
+                holders = refused_port(&log).map(port_holders);
+            }
             if Instant::now() > end {
-                let log = fs::read_to_string(target.process.log()).unwrap_or_default();
-                let message = format!("{} does not accept connections:\n{log}", target.name);
+                let message = format!(
+                    "{} does not accept connections:\n{log}\nsockets with its port: {}",
+                    target.name,
+                    holders.as_deref().unwrap_or("not looked up")
+                );
                 return Err(io::Error::new(io::ErrorKind::TimedOut, message));
             }
             sleep(POLL_INTERVAL).await;
@@ -491,3 +500,10 @@
     }
     Ok(entries)
 }
+
+/// Returns the port of the address on which a server could not listen, by its log.
+fn refused_port(log: &str) -> Option<u16> {
+    let (_, rest) = log.rsplit_once("cannot listen on ")?;
+    let (address, _) = rest.split_once(": ")?;
+    address.parse::<SocketAddr>().ok().map(|address| address.port())
+}
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -198,3 +198,19 @@
 pub fn free_address() -> io::Result<SocketAddr> {
     PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner).next_address()
 }
+
+/// Returns the lines of the system's table of TCP sockets whose local or remote port is `port`; the fourth field is the
+/// state, `0A` for a listener.
+#[must_use]
+pub fn port_holders(port: u16) -> String {
+    let suffix = format!(":{port:04X}");
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let mut holders = Vec::new();
+    for line in table.lines() {
+        let mut fields = line.split_whitespace().skip(1).take(2);
+        if fields.any(|address| address.ends_with(&suffix)) {
+            holders.push(line.trim());
+        }
+    }
+    holders.join("\n")
+}
