--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -39,7 +39,7 @@
 /// Recent marks of one group, in ascending order of time.
 ///
 /// A mark may only come from a response that proves that its sender was the primary: the commit of a write, or another
-/// statement inside a read-write transaction. The COMMIT of a transaction that wrote nothing proves it not, since a replaced
+/// statement inside a read-write transaction. The COMMIT of a transaction that wrote nothing is no proof, since a replaced
 /// primary accepts it as well. The position of a replaced primary does not cover its successor's commits.
 #[derive(Clone, Debug, Default)]
 pub struct FreshnessLog {
