--- a/crates/core/src/compression.rs
+++ b/crates/core/src/compression.rs
@@ -11,8 +11,11 @@
 /// Size up to which a payload is stored uncompressed, in bytes.
 const COMPRESSION_THRESHOLD: usize = 512;
 
-/// Maximum decompressed size, in bytes; routes are limited to 4 MiB.
-const DECOMPRESSED_LIMIT: u64 = 32 << 20;
+/// Maximum decompressed size of a command or a document, in bytes; routes are limited to 4 MiB.
+pub const MAX_COMMAND_BYTES: u64 = 32 << 20;
+
+/// Maximum decompressed size of a snapshot, in bytes: the largest message between replicas.
+pub const MAX_SNAPSHOT_BYTES: u64 = 512 << 20;
 
 /// First byte of an uncompressed payload.
 const PLAIN: u8 = 0;
@@ -36,17 +39,18 @@
     encoded
 }
 
-/// Decodes the output of [`compress`]; returns `None` for malformed input.
+/// Decodes the output of [`compress`]; returns `None` for malformed input, or more than `limit` bytes.
 #[must_use]
-pub fn decompress(encoded: &[u8]) -> Option<Vec<u8>> {
-    match encoded.split_first()? {
-        (&PLAIN, bytes) => Some(bytes.to_vec()),
+pub fn decompress(encoded: &[u8], limit: u64) -> Option<Vec<u8>> {
+    let decompressed = match encoded.split_first()? {
+        (&PLAIN, bytes) => bytes.to_vec(),
         (&DEFLATED, bytes) => {
             let mut decompressed = Vec::new();
-            let mut decoder = DeflateDecoder::new(bytes).take(DECOMPRESSED_LIMIT);
+            let mut decoder = DeflateDecoder::new(bytes).take(limit.saturating_add(1));
             decoder.read_to_end(&mut decompressed).ok()?;
-            Some(decompressed)
+            decompressed
         }
-        _ => None,
-    }
+        _ => return None,
+    };
+    (decompressed.len() as u64 <= limit).then_some(decompressed)
 }
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -7,7 +7,7 @@
         targets::TargetReport,
     },
     crate::{
-        compression::{compress, decompress},
+        compression::{MAX_COMMAND_BYTES, compress, decompress},
         hidden::Hidden,
         names::SharedName,
     },
@@ -102,8 +102,8 @@
     ///
     /// Returns `Malformed` if the bytes are not a command.
     pub fn decode(bytes: &[u8]) -> Result<Self, DirectoryRejection> {
-        let bytes = decompress(bytes).ok_or_else(|| DirectoryRejection::Malformed {
-            detail: "the bytes cannot be unpacked".to_owned(),
+        let bytes = decompress(bytes, MAX_COMMAND_BYTES).ok_or_else(|| {
+            DirectoryRejection::Malformed { detail: "the bytes cannot be unpacked".to_owned() }
         })?;
         serde_json::from_slice(&bytes)
             .map_err(|error| DirectoryRejection::Malformed { detail: error.to_string() })
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         change::{ChangeList, ChangeSet},
-        compression::{compress, decompress},
+        compression::{MAX_SNAPSHOT_BYTES, compress, decompress},
         hidden::Hidden,
         names::SharedName,
         route::TargetRole,
@@ -448,7 +448,7 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), SnapshotError> {
-        let snapshot = decompress(snapshot)
+        let snapshot = decompress(snapshot, MAX_SNAPSHOT_BYTES)
             .ok_or_else(|| SnapshotError("the bytes cannot be unpacked".to_owned()))?;
         let data: DirectoryData =
             serde_json::from_slice(&snapshot).map_err(|error| SnapshotError(error.to_string()))?;
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -1,7 +1,7 @@
 //! The replicated directory, the failure detection of primaries and the repair of the set of control replicas.
 
 use banyansill_core::{
-    compression::{compress, decompress},
+    compression::{MAX_COMMAND_BYTES, compress, decompress},
     consensus::{
         MemberContact, MemberRecord, RepairReason, RepairStep, ReplicaIdentity, WaitingReplica,
         next_repair,
@@ -249,12 +249,12 @@
 fn packing_round_trips() {
     for size in [0, 1, 511, 512, 513, 100_000] {
         let bytes: Vec<u8> = (0..size).map(|index| (index % 7) as u8).collect();
-        assert_eq!(decompress(&compress(&bytes)), Some(bytes));
+        assert_eq!(decompress(&compress(&bytes), MAX_COMMAND_BYTES), Some(bytes));
     }
     assert!(compress(&vec![b'a'; 100_000]).len() < 1_000);
-    assert_eq!(decompress(&[]), None);
-    assert_eq!(decompress(&[9, 1, 2]), None);
-    assert_eq!(decompress(&[1, 255, 255, 255]), None);
+    assert_eq!(decompress(&[], MAX_COMMAND_BYTES), None);
+    assert_eq!(decompress(&[9, 1, 2], MAX_COMMAND_BYTES), None);
+    assert_eq!(decompress(&[1, 255, 255, 255], MAX_COMMAND_BYTES), None);
 }
 
 // Guards against a promotion when only control is cut off from the primary, and against a missing promotion when some
@@ -436,6 +436,33 @@
     assert_eq!(whole.targets, [report("a", 1)]);
 }
 
+// Guards against control replicas that end at every start because their own snapshot is larger than they read: all of them
+// hold the same state.
+#[test]
+fn large_snapshots_are_restored() {
+    let mut state = DirectoryState::default();
+    for number in 0..12 {
+        let zone = "z".repeat(3 << 20).into();
+        let address = format!("10.0.0.{number}:80").into();
+        let odd = TargetReport { zone, address, ..report(&format!("t{number}"), 1) };
+        record(&mut state, number, odd);
+    }
+    let mut restored = DirectoryState::default();
+    assert_eq!(restored.restore(&state.snapshot()), Ok(()));
+    assert_eq!(restored.targets().len(), 12);
+}
+
+// Guards against a payload that is cut at the limit and taken for whole, and against one that takes more room.
+#[test]
+fn payloads_above_the_limit_are_refused() {
+    for length in [100, 4_000] {
+        let bytes = vec![7; length];
+        let packed = compress(&bytes);
+        assert_eq!(decompress(&packed, length as u64), Some(bytes));
+        assert_eq!(decompress(&packed, length as u64 - 1), None);
+    }
+}
+
 // Guards against a target whose reports are ignored for good because an earlier version recorded one with an order that it
 // never reaches. All replicas apply the proposed report by the rule that they always had.
 #[test]
--- a/crates/directory/src/leader.rs
+++ b/crates/directory/src/leader.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::node::DirectoryError,
-    banyansill_core::{compression::decompress, directory::DirectoryReply},
+    banyansill_core::{
+        compression::{MAX_COMMAND_BYTES, decompress},
+        directory::DirectoryReply,
+    },
     banyansill_wire::directory_v1::{self as v1, directory_client::DirectoryClient},
     bytes::Bytes,
     std::{
@@ -60,7 +63,8 @@
             .await
             .map_err(|status| self.connection_failed(&status))?;
         let reply = reply.into_inner();
-        let document = decompress(&reply.document).and_then(|bytes| String::from_utf8(bytes).ok());
+        let document = decompress(&reply.document, MAX_COMMAND_BYTES)
+            .and_then(|bytes| String::from_utf8(bytes).ok());
         let document = document.ok_or_else(|| {
             DirectoryError::Unavailable("the leader's document cannot be read".to_owned())
         })?;
