--- a/review/scenarios/src/group.rs
+++ b/review/scenarios/src/group.rs
@@ -121,6 +121,11 @@
         state.members.len() - 1
     }
 
+    /// Empties the log of a server that is about to start again; it receives everything from the primary.
+    pub fn empty(&self, server: usize) {
+        self.lock().members[server].received = 0;
+    }
+
     /// Ends the process of a server, or starts it again with its log.
     pub fn set_running(&self, server: usize, running: bool) {
         let mut state = self.lock();
--- a/review/scenarios/src/main.rs
+++ b/review/scenarios/src/main.rs
@@ -7,6 +7,8 @@
 mod cluster;
 mod group;
 mod http;
+mod late_departure;
+mod partition;
 mod pending_promotion;
 mod platform;
 mod record;
@@ -47,7 +49,7 @@
         eprintln!("usage: scenario NAME PROGRAMS FOLDER RECORD");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0" && value != "crash");
     match run(name, Path::new(programs), Path::new(folder), Path::new(record), trouble) {
         Ok(Verdict::Kept) => ExitCode::SUCCESS,
         Ok(Verdict::Broken) => ExitCode::FAILURE,
@@ -76,6 +78,7 @@
         .say(&format!("scenario {name}, {} disruption", if trouble { "with" } else { "without" }));
     let verdict = match name {
         "replaced-replica" => replaced_replica::run(&scenario),
+        "late-departure" => late_departure::run(&scenario),
         "pending-promotion" => pending_promotion::run(&scenario),
         _ => Err(io::Error::other(format!("unknown scenario {name:?}"))),
     };
--- a/review/scenarios/src/replaced_replica.rs
+++ b/review/scenarios/src/replaced_replica.rs
@@ -90,7 +90,7 @@
         let place = Place { address: network.server(1), zone: ZONES[1].0 };
         thread::spawn(move || -> io::Result<Server> {
             thread::sleep(DRAIN_TIME + DRAIN_REST);
-            near.leave();
+            near.leave(&context.controls);
             thread::sleep(RESTART_TIME);
             group.add_with_log_of("srv-next", 1);
             Server::start(&context, &group, "srv-next", place)
@@ -122,7 +122,7 @@
 }
 
 /// Checks the rule: every commit that its caller was told of is in the log of each server that was promoted.
-fn verdict(
+pub fn verdict(
     scenario: &Scenario,
     group: &Group,
     ledger: &Ledger,
--- a/review/scenarios/src/server.rs
+++ b/review/scenarios/src/server.rs
@@ -86,6 +86,8 @@
     draining: AtomicBool,
     /// Whether control has acknowledged the report of the draining state.
     drain_acknowledged: AtomicBool,
+    /// Whether the server is partitioned from control.
+    cut: AtomicBool,
     connections: AtomicUsize,
     streams: Mutex<Vec<TcpStream>>,
     sequence: AtomicU64,
@@ -155,6 +157,7 @@
             ended: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             drain_acknowledged: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             streams: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -170,6 +173,11 @@
         Ok(Self { shared })
     }
 
+    /// Stops reports for a time in which the server is partitioned from control.
+    pub fn set_cut(&self, cut: bool) {
+        self.shared.cut.store(cut, Ordering::Release);
+    }
+
     /// Ends the process: open connections are closed, and nothing is reported any more.
     pub fn crash(&self) {
         self.shared.record.say(&format!("server {} crashes", self.shared.id));
@@ -197,16 +205,18 @@
         self.shared.record.say(&format!("server {}: draining acknowledged", self.shared.id));
     }
 
-    /// Tells control that the server has left, and ends it.
-    pub fn leave(&self) {
-        let Shared { id, controls, record, .. } = &*self.shared;
+    /// Tells control that the server has left, and ends it; after as many calls without an acknowledgement as there are
+    /// addresses in `controls`, it ends anyway.
+    pub fn leave(&self, controls: &[SocketAddr]) {
+        let Shared { id, record, .. } = &*self.shared;
         let path = format!("/-/instances/{id}");
-        for control in controls.iter().cycle().take(3 * controls.len()) {
+        for control in controls {
             let reply = http::call(*control, "DELETE", &path, "", REPORT_TIMEOUT);
             if matches!(reply, Ok((status, _)) if (200..300).contains(&status)) {
                 record.say(&format!("server {id}: DELETE acknowledged by {control}"));
                 break;
             }
+            record.say(&format!("server {id}: DELETE to {control} not acknowledged"));
         }
         record.say(&format!("server {id} exits"));
         self.end();
@@ -258,7 +268,7 @@
         let draining = shared.draining.load(Ordering::Acquire);
         let state = (primary, draining);
         let due = reported_at.is_none_or(|at| at.elapsed() >= HEARTBEAT_INTERVAL);
-        if !due && reported == Some(state) {
+        if shared.cut.load(Ordering::Acquire) || (!due && reported == Some(state)) {
             thread::sleep(CHANGE_CHECK_INTERVAL);
             continue;
         }
