review: show that a replica which returns empty counts as one that held nothing (case 8)

Cause: a promotion with sync_replicas 1 takes the answer of a replica that has started again with an empty log as proof that it confirmed no commit, and promotes another one that lacks what the first one had confirmed.

Change: a script in which the primary and the replica next to it crash together and the replica is back first, empty.

--- a/review/scenarios/src/main.rs
+++ b/review/scenarios/src/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod cluster;
+mod empty_replica;
 mod group;
 mod http;
 mod late_departure;
@@ -78,6 +79,7 @@
         .say(&format!("scenario {name}, {} disruption", if trouble { "with" } else { "without" }));
     let verdict = match name {
         "replaced-replica" => replaced_replica::run(&scenario),
+        "empty-replica" => empty_replica::run(&scenario),
         "late-departure" => late_departure::run(&scenario),
         "pending-promotion" => pending_promotion::run(&scenario),
         _ => Err(io::Error::other(format!("unknown scenario {name:?}"))),
--- a/review/scenarios/src/server.rs
+++ b/review/scenarios/src/server.rs
@@ -184,15 +184,29 @@
         self.end();
     }
 
+    /// Ends two processes at the same moment.
+    pub fn crash_with(&self, other: &Self) {
+        self.halt();
+        other.halt();
+        let (id, other_id) = (&self.shared.id, &other.shared.id);
+        self.shared.record.say(&format!("servers {id} and {other_id} crash"));
+        self.end();
+        other.end();
+    }
+
     fn end(&self) {
+        self.halt();
+        // The listener closes within its interval; then the address can be used again.
+        thread::sleep(10 * ACCEPT_INTERVAL);
+    }
+
+    fn halt(&self) {
         let Shared { group, number, ended, streams, .. } = &*self.shared;
         group.set_running(*number, false);
         ended.store(true, Ordering::Release);
         for stream in streams.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        // The listener closes within its interval; then the address can be used again.
-        thread::sleep(10 * ACCEPT_INTERVAL);
     }
 
     /// Reports that the server leaves, and waits until control has acknowledged that.
