--- a/review/scenarios/src/callers.rs
+++ b/review/scenarios/src/callers.rs
@@ -25,6 +25,8 @@
 pub enum End {
     /// Success with a server's signature.
     Acknowledged,
+    /// Success without one, of a statement that the system answers itself.
+    Completed,
     /// A failure with its code.
     Refused(String),
     /// The connection ended or no answer came.
@@ -67,18 +69,25 @@
     pub pause: Duration,
 }
 
-struct Session {
+/// Session of a caller with a gateway.
+#[derive(Debug)]
+pub struct Session {
     reader: BufReader<TcpStream>,
     writer: TcpStream,
 }
 
 impl Session {
-    fn open(front: SocketAddr, plan: &CallerPlan) -> io::Result<Self> {
+    /// Connects to a gateway and starts the session.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the session is refused or there is no answer.
+    pub fn open(front: SocketAddr, database: &str, name: &str) -> io::Result<Self> {
         let writer = TcpStream::connect_timeout(&front, START_TIMEOUT)?;
         writer.set_nodelay(true)?;
         writer.set_read_timeout(Some(START_TIMEOUT))?;
         let mut session = Self { reader: BufReader::new(writer.try_clone()?), writer };
-        let start = format!("STARTUP {} {}\r\n", plan.database, plan.name);
+        let start = format!("STARTUP {database} {name}\r\n");
         session.writer.write_all(start.as_bytes())?;
         let reply = session.line()?;
         if !reply.starts_with("READY I") {
@@ -97,7 +106,11 @@
     }
 
     /// Sends a statement and returns how it ended.
-    fn run(&mut self, id: &str, text: &str) -> io::Result<End> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the session ended.
+    pub fn run(&mut self, id: &str, text: &str) -> io::Result<End> {
         self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
         let mut end = End::Unanswered;
         loop {
@@ -105,7 +118,8 @@
             let (keyword, rest) = line.split_once(' ').unwrap_or((&line, ""));
             match keyword {
                 "DATAROW" => {}
-                "COMPLETE" if rest != "-" => end = End::Acknowledged,
+                "COMPLETE" if rest == "-" => end = End::Completed,
+                "COMPLETE" => end = End::Acknowledged,
                 "ERROR" => {
                     let code = rest.split(' ').next().unwrap_or_default();
                     end = End::Refused(code.to_owned());
@@ -128,7 +142,12 @@
             let id = format!("{}-{number}", plan.name);
             let at = Instant::now();
             if session.is_none() {
-                session = Session::open(plan.fronts[front % plan.fronts.len()], &plan).ok();
+                session = Session::open(
+                    plan.fronts[front % plan.fronts.len()],
+                    &plan.database,
+                    &plan.name,
+                )
+                .ok();
             }
             let end = match &mut session {
                 None => End::Unanswered,
--- a/review/scenarios/src/cluster.rs
+++ b/review/scenarios/src/cluster.rs
@@ -193,6 +193,30 @@
         }
     }
 
+    /// Ends one process with SIGKILL, if it runs.
+    pub fn kill(&self, name: &str) {
+        for machine in self.machines().iter_mut().filter(|machine| machine.name == name) {
+            if let Some(mut child) = machine.child.take() {
+                // Fails if the process has ended already.
+                let _ = child.kill();
+                let _ = child.wait();
+                self.record.say(&format!("{name} killed"));
+            }
+        }
+    }
+
+    /// Returns the resident memory of a process in MB.
+    #[must_use]
+    pub fn memory_mb(&self, name: &str) -> Option<u64> {
+        let machines = self.machines();
+        let machine = machines.iter().find(|machine| machine.name == name)?;
+        let pid = machine.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes / 1_024)
+    }
+
     /// Returns the addresses at which control serves the operator and the servers.
     #[must_use]
     pub fn controls(&self) -> Vec<SocketAddr> {
--- a/review/scenarios/src/main.rs
+++ b/review/scenarios/src/main.rs
@@ -12,6 +12,7 @@
 mod partition;
 mod pending_promotion;
 mod platform;
+mod prepared_growth;
 mod record;
 mod replaced_replica;
 mod server;
@@ -78,6 +79,7 @@
     record
         .say(&format!("scenario {name}, {} disruption", if trouble { "with" } else { "without" }));
     let verdict = match name {
+        "prepared-growth" => prepared_growth::run(&scenario),
         "replaced-replica" => replaced_replica::run(&scenario),
         "empty-replica" => empty_replica::run(&scenario),
         "late-departure" => late_departure::run(&scenario),
