--- a/review/scenarios/src/late_departure.rs
+++ b/review/scenarios/src/late_departure.rs
@@ -12,7 +12,12 @@
         replaced_replica::verdict,
         server::{Place, Runs, Server, ServerContext},
     },
-    std::{io, sync::Arc, thread, time::Duration},
+    std::{
+        io,
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 const SERVICE: &str = "hamper1";
@@ -28,7 +33,7 @@
 const DRAIN_TIME: Duration = Duration::from_millis(7_000);
 
 /// Length of the partition of the server from control.
-const CUT_TIME: Duration = Duration::from_millis(5_000);
+const CUT_TIME: Duration = Duration::from_millis(4_900);
 
 /// Time from the beginning of the partition to the farewell of the server.
 const LEAVE_AFTER: Duration = Duration::from_millis(500);
@@ -107,6 +112,7 @@
         };
         paths.push(path);
     }
+    let cut_at = Instant::now();
     if scenario.trouble {
         record.say("srv-near is partitioned from control");
         near.set_cut(true);
@@ -118,10 +124,7 @@
     let place = Place { address: network.server(1), zone: ZONES[1].0 };
     let again = Server::start(&context, &group, "srv-near", place)?;
     again.set_cut(scenario.trouble);
-    // The farewell took a second for each call.
-    let left =
-        CUT_TIME.saturating_sub(LEAVE_AFTER + Duration::from_secs(CALLS as u64) + RESTART_TIME);
-    thread::sleep(left);
+    thread::sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
     again.set_cut(false);
     record.say("srv-near reaches control");
     thread::sleep(REPEAT_TIME);
--- a/review/scenarios/src/pending_promotion.rs
+++ b/review/scenarios/src/pending_promotion.rs
@@ -93,17 +93,21 @@
     thread::sleep(CRASH_AFTER);
     let without_kill = std::env::var("TROUBLE").is_ok_and(|value| value == "crash");
     let crash = scenario.trouble || without_kill;
+    let crashed_at = Instant::now();
     if crash {
         servers[0].crash();
     }
     thread::sleep(KILL_AFTER);
+    // A final fault comes right after an acknowledgement.
+    cluster
+        .put_config(&crate::config(SERVICE, DATABASE).replace("\"version\":7", "\"version\":9"))?;
     let killed_at = Instant::now();
     if !without_kill {
         cluster.kill_all();
     }
     thread::sleep(KILL_TIME);
     cluster.start_all()?;
-    thread::sleep(CRASH_TIME.saturating_sub(KILL_AFTER + KILL_TIME));
+    thread::sleep(CRASH_TIME.saturating_sub(crashed_at.elapsed()));
     if crash {
         // A primary that crashed comes back with its log; nobody was promoted.
         let place = Place { address: network.server(0), zone: ZONES[0].0 };
