fix(core, directory): a promotion awaits the replicas that have left

Cause: a promotion takes the targets of the directory for all that may hold a commit, and a DELETE takes a replica off that list although nothing shows that the others have what it had. Change: the replicated directory keeps departed holders until the successor at the address reports, or the leader has shown that enough replicas have what the primary had after the departure (HolderProof, ConfirmHolders, BS414). A promotion counts them as replicas that do not answer. Why it works: a departed process confirms nothing, so all that it confirmed is in the position that the primary tells afterwards, and a promotion finds one of the replicas that have told it too.

--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -87,6 +87,13 @@
         /// New primary; `None` if the promotion was abandoned before it was ordered.
         primary: Option<SharedName>,
     },
+    /// Records that the remaining replicas of a group have what departed ones had received. Earlier versions reject it.
+    ConfirmHolders {
+        /// Group.
+        group: SharedName,
+        /// Log index up to which the departures are covered.
+        until: u64,
+    },
 }
 
 impl DirectoryCommand {
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -6,6 +6,7 @@
 
 mod command;
 mod failover;
+mod holders;
 mod routes;
 mod state;
 mod stream_registry;
@@ -19,6 +20,7 @@
         AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, PrimaryEvidence, PrimaryVerdict,
         VANISHED_ENTRY_TTL, choose_candidate, keep_ordered,
     },
+    holders::{DepartedHolder, DepartedHolders, HolderProof, ProofStep, ServerLog},
     routes::{ActiveRoutes, GroupRule, ReadRule, RouteDraft, RouteFault, RouteLimits, RouteRule},
     state::{
         DirectoryItem, DirectorySet, DirectoryState, GroupRecord, ProcessHost, ProcessKind,
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
+        holders::{DepartedHolder, DepartedHolders},
         routes::{ActiveRoutes, RouteDraft},
         targets::{DepartedTarget, ReportFault, TargetReport},
     },
@@ -109,6 +110,9 @@
     groups: BTreeMap<SharedName, GroupRecord>,
     entries: BTreeMap<SharedName, ProcessHost>,
     controls: BTreeMap<SharedName, ProcessHost>,
+    /// Of the groups whose commits wait for replicas; absent in a snapshot of an earlier version.
+    #[serde(default = "DepartedHolders::unrecorded")]
+    holders: DepartedHolders,
 }
 
 /// State machine of the replicated directory.
@@ -179,6 +183,12 @@
         &self.data.groups
     }
 
+    /// Returns the departed holders that a promotion counts as replicas which do not respond.
+    #[must_use]
+    pub const fn holders(&self) -> &DepartedHolders {
+        &self.data.holders
+    }
+
     /// Returns the entries by host.
     #[must_use]
     pub const fn entries(&self) -> &BTreeMap<SharedName, ProcessHost> {
@@ -228,6 +238,9 @@
             }
             DirectoryCommand::RecordTarget { report } => Ok(self.record_target(index, report)),
             DirectoryCommand::RemoveTarget { target } => Ok(self.remove_target(index, &target)),
+            DirectoryCommand::ConfirmHolders { group, until } => {
+                Ok(self.data.holders.confirm(&group, until))
+            }
             DirectoryCommand::RecordProcess { kind, process } => {
                 Ok(self.record_process(index, kind, process))
             }
@@ -265,6 +278,8 @@
         }
         let active = ActiveRoutes::new(draft, document);
         let before = std::mem::replace(&mut self.data.book, active);
+        let waits = |group: &SharedName| waits_for_replicas(&self.data.book, group);
+        self.data.holders.retain_groups(waits);
         let routes = changed_keys(&before.routes, &self.data.book.routes);
         let rules = changed_keys(&before.groups, &self.data.book.groups);
         for database in routes {
@@ -298,6 +313,8 @@
         for name in replaced {
             self.remove_target(index, &name);
         }
+        // The successor is asked in place of the target whose log it has.
+        self.data.holders.hand_over(&report);
         let before = self.data.targets.insert(report.target.clone(), report.clone());
         self.record_change(index, DirectoryItem::Target(report.target.clone()));
         let was_primary = before.is_some_and(|before| before.role == TargetRole::Primary);
@@ -316,6 +333,7 @@
         let Some(report) = self.data.targets.remove(target) else { return false };
         let incarnation = report.order.incarnation;
         self.data.departed.push_back(DepartedTarget { target: target.clone(), incarnation });
+        self.record_holder(index, &report);
         while self.data.departed.len() > MAX_DEPARTED {
             self.data.departed.pop_front();
         }
@@ -329,6 +347,17 @@
         true
     }
 
+    /// Records that the process of a replica has ended, if commits of its group wait for replicas.
+    fn record_holder(&mut self, index: u64, report: &TargetReport) {
+        let record = self.data.groups.get(&report.group);
+        let is_primary =
+            record.is_some_and(|record| record.primary.as_ref() == Some(&report.target));
+        // Others have each commit that a primary acknowledged.
+        if !is_primary && waits_for_replicas(&self.data.book, &report.group) {
+            self.data.holders.push(&report.group, DepartedHolder::of(report, index));
+        }
+    }
+
     const fn processes(&mut self, kind: ProcessKind) -> &mut BTreeMap<SharedName, ProcessHost> {
         match kind {
             ProcessKind::Entry => &mut self.data.entries,
@@ -409,6 +438,11 @@
     }
 }
 
+/// Returns whether a commit of the group waits for replicas.
+fn waits_for_replicas(routes: &ActiveRoutes, group: &SharedName) -> bool {
+    routes.groups.get(group).is_some_and(|rule| rule.sync_replicas > 0)
+}
+
 /// Returns the keys whose values differ between two maps.
 fn changed_keys<V>(
     before: &BTreeMap<SharedName, V>,
@@ -450,8 +484,11 @@
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), SnapshotError> {
         let snapshot = decompress(snapshot, MAX_SNAPSHOT_BYTES)
             .ok_or_else(|| SnapshotError("the bytes cannot be unpacked".to_owned()))?;
-        let data: DirectoryData =
+        let mut data: DirectoryData =
             serde_json::from_slice(&snapshot).map_err(|error| SnapshotError(error.to_string()))?;
+        let DirectoryData { version, book, holders, .. } = &mut data;
+        let waiting = book.groups.keys().filter(|group| waits_for_replicas(book, group));
+        holders.complete(waiting.cloned(), *version);
         self.changes = ChangeList::starting_at(data.version);
         self.data = data;
         Ok(())
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -169,6 +169,8 @@
     PrimaryDemoted = 412, "primary demoted";
     /// A target that joined or restarted during a promotion was paused.
     JoinedTargetPaused = 413, "joined target paused";
+    /// The remaining replicas of a group have what departed ones had received.
+    HoldersConfirmed = 414, "departed holders confirmed";
     /// An entry holds a node lease.
     LeaseGained = 501, "node lease gained";
     /// An entry lost its node lease.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,6 +4,8 @@
 mod confirm;
 mod confirm_batch;
 mod follow;
+mod group_snapshot;
+mod holder_proof;
 mod join;
 mod leader;
 mod limits;
--- a/crates/directory/src/probe.rs
+++ b/crates/directory/src/probe.rs
@@ -11,7 +11,7 @@
         TargetConnection, TargetRequest,
     },
     std::{io, time::Duration},
-    tokio::time::timeout,
+    tokio::{task::JoinSet, time::timeout},
 };
 
 /// Time for one probe on an open connection; regions are 20 ms apart.
@@ -180,6 +180,27 @@
     timeout(TARGET_REQUEST_TIMEOUT, exchange).await.ok().flatten()
 }
 
+/// Sends a request to several targets at the same time, and returns the answers of those that respond in time.
+pub(crate) async fn request_rows<P>(
+    protocol: &P,
+    host: &SharedName,
+    targets: &[&TargetReport],
+    request: ControlRequest,
+) -> Vec<(SharedName, ProbeRow)>
+where
+    P: StatementProtocol,
+{
+    let mut requests = JoinSet::new();
+    for report in targets {
+        let (protocol, host, report) = (protocol.clone(), host.clone(), (*report).clone());
+        requests.spawn(async move {
+            let row = request_row(&protocol, &host, &report, request).await;
+            row.map(|row| (report.target, row))
+        });
+    }
+    requests.join_all().await.into_iter().flatten().collect()
+}
+
 async fn open<P>(
     protocol: &P,
     host: &SharedName,
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -2,20 +2,21 @@
 
 use {
     crate::{
+        group_snapshot::GroupSnapshot,
+        holder_proof::HolderTask,
         node::DirectoryNode,
-        probe::{ControlRequest, TargetProbe, request_row},
+        probe::{ControlRequest, TargetProbe, request_row, request_rows},
         promotion::{PromotionOrder, PromotionPort, PromotionReply},
         reachability::EntryReports,
     },
     banyansill_core::{
         collections::FastMap,
         directory::{
-            AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, GroupRecord,
-            PrimaryEvidence, PrimaryVerdict, ProcessHost, TargetReport, TargetState,
-            choose_candidate, keep_ordered,
+            AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, PrimaryEvidence,
+            PrimaryVerdict, TargetReport, TargetState, choose_candidate, keep_ordered,
         },
         event::EventNumber,
-        gateway::{ConnectionRule, direct_entries},
+        gateway::direct_entries,
         names::SharedName,
         position::LogTerm,
         route::TargetRole,
@@ -117,58 +118,6 @@
     }
 }
 
-/// Content of the directory about one group, at one point in time.
-#[derive(Clone, Debug, Default)]
-struct GroupSnapshot {
-    record: GroupRecord,
-    targets: Vec<TargetReport>,
-    sync_replicas: u32,
-    /// Connections that each target accepts.
-    connections: ConnectionRule,
-    entries: Vec<ProcessHost>,
-}
-
-impl GroupSnapshot {
-    fn of(state: &DirectoryState, group: &SharedName) -> Self {
-        let rule = state.routes().groups.get(group);
-        Self {
-            record: state.groups().get(group).cloned().unwrap_or_default(),
-            targets: state
-                .usable_targets()
-                .filter(|report| report.group == *group)
-                .cloned()
-                .collect(),
-            sync_replicas: rule.map_or(0, |rule| rule.sync_replicas),
-            connections: ConnectionRule {
-                connections: rule.map_or(0, |rule| rule.connections),
-                by_team: !state.routes().teams.is_empty(),
-            },
-            entries: state.entries().values().cloned().collect(),
-        }
-    }
-
-    fn primary(&self) -> Option<&TargetReport> {
-        let name = self.record.primary.as_ref()?;
-        self.targets.iter().find(|report| report.target == *name)
-    }
-
-    /// Returns whether a commit of the group waits for replicas.
-    const fn waits_for_replicas(&self) -> bool {
-        self.sync_replicas > 0
-    }
-
-    /// Returns all targets except the recorded primary.
-    fn replicas(&self) -> Vec<&TargetReport> {
-        let mut replicas = Vec::new();
-        for report in &self.targets {
-            if self.record.primary.as_ref() != Some(&report.target) {
-                replicas.push(report);
-            }
-        }
-        replicas
-    }
-}
-
 /// Supervision of one group.
 struct GroupTask<L, P, O> {
     sources: SupervisorSources<L, P, O>,
@@ -296,6 +245,9 @@
     }
 
     async fn run(mut self) {
+        // Ends with this task.
+        let mut proof = JoinSet::new();
+        proof.spawn(HolderTask::new(&self.sources, &self.group).run());
         loop {
             let Some(snapshot) = self.snapshot().await else { return };
             if snapshot.record.promotion.is_some() {
@@ -407,17 +359,7 @@
         targets: &[&TargetReport],
         request: ControlRequest,
     ) -> Vec<(SharedName, ProbeRow)> {
-        let mut requests = JoinSet::new();
-        for report in targets {
-            let protocol = self.sources.protocol.clone();
-            let host = self.sources.node.own.host.clone();
-            let report = (*report).clone();
-            requests.spawn(async move {
-                let row = request_row(&protocol, &host, &report, request).await;
-                row.map(|row| (report.target, row))
-            });
-        }
-        requests.join_all().await.into_iter().flatten().collect()
+        request_rows(&self.sources.protocol, &self.sources.node.own.host, targets, request).await
     }
 
     /// Carries out a promotion under a new fencing number, which replaces the unfinished one if there is one.
@@ -630,12 +572,14 @@
         ordered: Option<&SharedName>,
     ) -> Option<CandidateChoice> {
         let replicas = snapshot.replicas();
-        let mut rows = self.request_rows(&replicas, ControlRequest::Position).await;
+        let departed = snapshot.departed_targets();
+        let asked: Vec<&TargetReport> = replicas.iter().copied().chain(&departed).collect();
+        let mut rows = self.request_rows(&asked, ControlRequest::Position).await;
         let positions: Vec<ProbeRow> = rows.iter().map(|(_, row)| *row).collect();
         let pause_term = next_term(&positions);
         if snapshot.waits_for_replicas() {
             // A paused replica receives no more commits, so its position cannot change after the choice.
-            rows = self.request_rows(&replicas, ControlRequest::Pause(pause_term)).await;
+            rows = self.request_rows(&asked, ControlRequest::Pause(pause_term)).await;
         }
         let mut answers = Vec::new();
         for (target, row) in rows {
@@ -644,7 +588,8 @@
             answers.push(CandidateAnswer { target, received: row.received, eligible });
         }
         answers.sort_by(|left, right| left.target.cmp(&right.target));
-        let chosen = choose_candidate(&answers, replicas.len(), snapshot.sync_replicas)
+        let holders = replicas.len() + snapshot.holders.len();
+        let chosen = choose_candidate(&answers, holders, snapshot.sync_replicas)
             .map(|best| keep_ordered(best, ordered, &answers, snapshot.sync_replicas));
         log::info!(
             target: "event",
@@ -652,6 +597,7 @@
             group:display = self.group,
             server:display = chosen.as_deref().unwrap_or("-"),
             replicas = replicas.len(),
+            departed = snapshot.holders.len(),
             answers:debug;
             ""
         );
