fix(core, directory): a promotion that changes hands ends when the primary serves again

Cause: a promotion that replaces another one counts as ordered, whether or not anything was, and one that may be ordered has no end but a candidate, which a lost replica rules out. Change: PromotionRecord::earlier carries what may be ordered through the chain of records, unknown where an earlier version wrote it. Without an order the promotion is abandoned; otherwise the present primary is ordered under the new fence and watched for the time that an accepted order takes. A target that answers as primary is recorded. Why it works: an order with a lower fence than one that the platform has seen is refused when it is carried out, and one that was accepted before takes effect while gateways pass on no commit.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -23,8 +23,8 @@
     holders::{DepartedHolder, DepartedHolders, HolderProof, ProofStep, ServerLog},
     routes::{ActiveRoutes, GroupRule, ReadRule, RouteDraft, RouteFault, RouteLimits, RouteRule},
     state::{
-        DirectoryItem, DirectorySet, DirectoryState, GroupRecord, ProcessHost, ProcessKind,
-        PromotionRecord,
+        DirectoryItem, DirectorySet, DirectoryState, EarlierOrder, GroupRecord, ProcessHost,
+        ProcessKind, PromotionRecord,
     },
     stream_registry::{StreamNumber, StreamRegistry},
     targets::{
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -55,6 +55,20 @@
     }
 }
 
+/// What may have been ordered before a promotion began, by the unfinished ones that it replaces.
+///
+/// The platform may carry an order out seconds after its leader is lost.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EarlierOrder {
+    /// Anything: an earlier version wrote the record.
+    #[default]
+    Unknown,
+    /// Nothing.
+    Nothing,
+    /// The promotion of this target.
+    Target(SharedName),
+}
+
 /// Promotion in progress.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromotionRecord {
@@ -65,6 +79,20 @@
     pub holder: SharedName,
     /// Chosen target; once it is set, the promotion may have been ordered.
     pub candidate: Option<SharedName>,
+    /// What may have been ordered by the promotions that this one replaces, directly or through others.
+    #[serde(default)]
+    pub earlier: EarlierOrder,
+}
+
+impl PromotionRecord {
+    /// Returns the last order that this promotion, or one that it replaces, may have given.
+    #[must_use]
+    pub fn last_order(&self) -> EarlierOrder {
+        match &self.candidate {
+            Some(candidate) => EarlierOrder::Target(candidate.clone()),
+            None => self.earlier.clone(),
+        }
+    }
 }
 
 /// Primary of one group.
@@ -420,7 +448,9 @@
         if pending != replaces {
             return Err(DirectoryRejection::PromotionPending { fence: pending });
         }
-        record.promotion = Some(PromotionRecord { fence: index, holder, candidate: None });
+        let pending = record.promotion.take();
+        let earlier = pending.map_or(EarlierOrder::Nothing, |pending| pending.last_order());
+        record.promotion = Some(PromotionRecord { fence: index, holder, candidate: None, earlier });
         self.record_change(index, DirectoryItem::Group(group));
         Ok(true)
     }
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -7,10 +7,10 @@
         next_repair,
     },
     directory::{
-        CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, GroupRule,
+        CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, EarlierOrder, GroupRule,
         MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, PrimaryEvidence, PrimaryVerdict, ProcessHost,
-        ProcessKind, ReadRule, ReportFault, ReportOrder, RouteDraft, RouteFault, RouteRule,
-        TargetReport, TargetState, choose_candidate, keep_ordered,
+        ProcessKind, PromotionRecord, ReadRule, ReportFault, ReportOrder, RouteDraft, RouteFault,
+        RouteRule, TargetReport, TargetState, choose_candidate, keep_ordered,
     },
     gateway::RoutingTable,
     log_rate_limit::LogRateLimiter,
@@ -206,6 +206,52 @@
     assert!(matches!(directory.apply(&end), DirectoryReply::Rejected(_)));
 }
 
+// Guards against an order that is forgotten, or made up, when unfinished promotions change hands several times.
+#[test]
+fn orders_are_known_through_a_chain_of_promotions() {
+    let mut directory = Directory::new();
+    let group: SharedName = "g".into();
+    let begin = |directory: &mut Directory, holder: &str, replaces| {
+        let holder = holder.into();
+        let command = DirectoryCommand::BeginPromotion { group: group.clone(), holder, replaces };
+        assert!(directory.changes(&command));
+        directory.index
+    };
+    let last_order = |directory: &Directory| {
+        let promotion = directory.state.groups()["g"].promotion.clone().expect("a promotion");
+        promotion.last_order()
+    };
+    let first = begin(&mut directory, "c1", 0);
+    let second = begin(&mut directory, "c2", first);
+    assert_eq!(last_order(&directory), EarlierOrder::Nothing);
+    let (group, candidate) = ("g".into(), "b".into());
+    let choose = DirectoryCommand::ChooseCandidate { group, fence: second, candidate };
+    assert!(directory.changes(&choose));
+    let third = begin(&mut directory, "c3", second);
+    let fourth = begin(&mut directory, "c4", third);
+    assert_eq!(last_order(&directory), EarlierOrder::Target("b".into()));
+    let mut restored = DirectoryState::default();
+    restored.restore(&directory.state.snapshot()).expect("a snapshot");
+    directory.state = restored;
+    assert_eq!(last_order(&directory), EarlierOrder::Target("b".into()), "after a restart");
+    let end = DirectoryCommand::EndPromotion {
+        group: "g".into(),
+        fence: fourth,
+        primary: Some("b".into()),
+    };
+    assert!(directory.changes(&end));
+    begin(&mut directory, "c1", 0);
+    assert_eq!(last_order(&directory), EarlierOrder::Nothing);
+}
+
+// Guards against the record of an earlier version, which does not say what was ordered, being taken for one without an order.
+#[test]
+fn a_record_of_an_earlier_version_may_be_ordered() {
+    let record = r#"{"fence": 7, "holder": "c1", "candidate": null}"#;
+    let record: PromotionRecord = serde_json::from_str(record).expect("a record");
+    assert_eq!(record.last_order(), EarlierOrder::Unknown);
+}
+
 // Guards against a snapshot that loses data, and against a follower that reverts to an older version or misses a
 // removal.
 #[test]
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -12,8 +12,9 @@
     banyansill_core::{
         collections::FastMap,
         directory::{
-            AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, PrimaryEvidence,
-            PrimaryVerdict, TargetReport, TargetState, choose_candidate, keep_ordered,
+            AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, EarlierOrder,
+            PrimaryEvidence, PrimaryVerdict, PromotionRecord, TargetReport, TargetState,
+            choose_candidate, keep_ordered,
         },
         event::EventNumber,
         gateway::direct_entries,
@@ -146,11 +147,36 @@
     target: TargetReport,
     /// Term under which replicas are paused, above every term that they know.
     pause_term: LogTerm,
+    /// Whether the target is the primary, and an earlier order for another one may still take effect.
+    is_disputed: bool,
 }
 
 impl CandidateChoice {
     fn new(target: &TargetReport, rows: &[ProbeRow]) -> Self {
-        Self { target: target.clone(), pause_term: next_term(rows) }
+        Self { target: target.clone(), pause_term: next_term(rows), is_disputed: false }
+    }
+}
+
+/// Answers of the replicas that may be promoted.
+struct CandidateRows {
+    /// By name.
+    rows: Vec<(SharedName, ProbeRow)>,
+    /// Term under which they are paused.
+    pause_term: LogTerm,
+}
+
+impl CandidateRows {
+    /// Returns the listed target that answers as primary, if the directory names another one or none.
+    fn primary(&self, snapshot: &GroupSnapshot) -> Option<SharedName> {
+        let mut newest: Option<(&SharedName, LogTerm)> = None;
+        for (target, row) in &self.rows {
+            let is_listed = snapshot.targets.iter().any(|report| report.target == *target);
+            let newer = newest.is_none_or(|(_, term)| term < row.term);
+            if row.role == TargetRole::Primary && is_listed && newer {
+                newest = Some((target, row.term));
+            }
+        }
+        newest.map(|(target, _)| target.clone())
     }
 }
 
@@ -375,14 +401,20 @@
         let Ok((fence, _)) = self.sources.node.submit(&begin, "start of a promotion").await else {
             return;
         };
+        let earlier = pending.as_ref().map_or(EarlierOrder::Nothing, PromotionRecord::last_order);
         // The order of a lost leader may take effect at any time. An own attempt that did not finish has shown that its
         // candidate does not become primary.
-        let ordered = pending
-            .filter(|pending| pending.holder != holder)
-            .and_then(|pending| pending.candidate);
+        let is_own =
+            |pending: &PromotionRecord| pending.holder == holder && pending.candidate.is_some();
+        let ordered = match &earlier {
+            EarlierOrder::Target(target) if !pending.as_ref().is_some_and(is_own) => {
+                Some(target.clone())
+            }
+            _ => None,
+        };
         let plan = PromotionPlan {
             fence,
-            may_be_ordered: replaces > 0,
+            may_be_ordered: earlier != EarlierOrder::Nothing,
             replaced: snapshot.record.primary.clone().filter(|name| ordered.as_ref() != Some(name)),
             ordered,
         };
@@ -445,13 +477,21 @@
             if let Some(choice) = self.ordered_primary(plan, &snapshot).await {
                 return self.order_choice(choice, plan.fence, &snapshot).await;
             }
-            let mut choice = self.select_candidate(&snapshot, plan.ordered.as_ref()).await;
+            let rows = self.request_candidates(&snapshot).await;
+            let mut choice = self.select_candidate(&snapshot, &rows, plan.ordered.as_ref());
             if choice.is_none() && demoted {
                 choice = self.demoted_primary(&snapshot).await;
             }
             let Some(choice) = choice else {
-                if !plan.may_be_ordered && self.serves_again(&snapshot).await {
+                if plan.may_be_ordered {
+                    // Under the new fence, which outdates the earlier order, the primary stays what it is.
+                    if let Some(primary) = self.present_primary(&snapshot).await {
+                        return self.order_choice(primary, plan.fence, &snapshot).await;
+                    }
+                } else if self.serves_again(&snapshot).await {
                     return PromotionOutcome::Abandoned;
+                } else if let Some(primary) = rows.primary(&snapshot) {
+                    return PromotionOutcome::Promoted(primary);
                 }
                 if !self.confirm_leadership().await {
                     return PromotionOutcome::Unfinished;
@@ -492,7 +532,23 @@
         if snapshot.waits_for_replicas() {
             joined.spawn(self.joined_targets(snapshot, choice.pause_term).run());
         }
-        self.order_promotion(&choice.target, fence).await
+        let outcome = self.order_promotion(&choice.target, fence).await;
+        if choice.is_disputed && matches!(outcome, PromotionOutcome::Promoted(_)) {
+            return self.await_earlier_order(&choice.target).await;
+        }
+        outcome
+    }
+
+    /// Waits as long as an earlier order that the platform has accepted may take until it has effect.
+    async fn await_earlier_order(&mut self, primary: &TargetReport) -> PromotionOutcome {
+        let begun = self.now();
+        while self.now().since(begun) < PROMOTION_TIMEOUT {
+            sleep(RETRY_INTERVAL).await;
+            if self.probe.check(primary).await != crate::probe::ProbeResult::Primary {
+                return PromotionOutcome::Unfinished;
+            }
+        }
+        PromotionOutcome::Promoted(primary.target.clone())
     }
 
     /// Returns the target that a lost leader ordered to be promoted, if it is the primary by now.
@@ -548,6 +604,22 @@
         Some(CandidateChoice::new(target, &[row]))
     }
 
+    /// Returns the target that is the primary at present, even if it is leaving.
+    async fn present_primary(&self, snapshot: &GroupSnapshot) -> Option<CandidateChoice> {
+        let targets: Vec<&TargetReport> = snapshot.targets.iter().collect();
+        let rows = self.request_rows(&targets, ControlRequest::Position).await;
+        let mut newest: Option<(SharedName, ProbeRow)> = None;
+        for (target, row) in rows {
+            let newer = newest.as_ref().is_none_or(|(_, newest)| newest.term < row.term);
+            if row.role == TargetRole::Primary && newer {
+                newest = Some((target, row));
+            }
+        }
+        let (name, row) = newest?;
+        let target = targets.into_iter().find(|report| report.target == name)?;
+        Some(CandidateChoice { is_disputed: true, ..CandidateChoice::new(target, &[row]) })
+    }
+
     fn joined_targets(&self, snapshot: &GroupSnapshot, pause_term: LogTerm) -> JoinedTargets<L, P> {
         let mut paused = FastMap::default();
         for report in &snapshot.targets {
@@ -563,14 +635,8 @@
         }
     }
 
-    /// Chooses the replica with the highest received log position; returns `None` while that cannot be decided.
-    ///
-    /// The one that another leader may have ordered comes first: its promotion may take effect in any case.
-    async fn select_candidate(
-        &self,
-        snapshot: &GroupSnapshot,
-        ordered: Option<&SharedName>,
-    ) -> Option<CandidateChoice> {
+    /// Asks the replicas, and departed ones that still run, for what they have received.
+    async fn request_candidates(&self, snapshot: &GroupSnapshot) -> CandidateRows {
         let replicas = snapshot.replicas();
         let departed = snapshot.departed_targets();
         let asked: Vec<&TargetReport> = replicas.iter().copied().chain(&departed).collect();
@@ -581,13 +647,27 @@
             // A paused replica receives no more commits, so its position cannot change after the choice.
             rows = self.request_rows(&asked, ControlRequest::Pause(pause_term)).await;
         }
+        rows.sort_by(|(left, _), (right, _)| left.cmp(right));
+        CandidateRows { rows, pause_term }
+    }
+
+    /// Chooses the replica with the highest received log position; returns `None` while that cannot be decided.
+    ///
+    /// The one that another leader may have ordered comes first: its promotion may take effect in any case.
+    fn select_candidate(
+        &self,
+        snapshot: &GroupSnapshot,
+        rows: &CandidateRows,
+        ordered: Option<&SharedName>,
+    ) -> Option<CandidateChoice> {
+        let replicas = snapshot.replicas();
         let mut answers = Vec::new();
-        for (target, row) in rows {
-            let report = replicas.iter().find(|report| report.target == target);
+        for (target, row) in &rows.rows {
+            let report = replicas.iter().find(|report| report.target == *target);
             let eligible = report.is_some_and(|report| report.state == TargetState::Ready);
-            answers.push(CandidateAnswer { target, received: row.received, eligible });
+            let (target, received) = (target.clone(), row.received);
+            answers.push(CandidateAnswer { target, received, eligible });
         }
-        answers.sort_by(|left, right| left.target.cmp(&right.target));
         let holders = replicas.len() + snapshot.holders.len();
         let chosen = choose_candidate(&answers, holders, snapshot.sync_replicas)
             .map(|best| keep_ordered(best, ordered, &answers, snapshot.sync_replicas));
@@ -603,7 +683,7 @@
         );
         let chosen = chosen?;
         let target = replicas.into_iter().find(|report| report.target == chosen)?.clone();
-        Some(CandidateChoice { target, pause_term })
+        Some(CandidateChoice { target, pause_term: rows.pause_term, is_disputed: false })
     }
 
     /// Returns whether the recorded primary accepts new work and responds as primary.
