fix(directory): a primary that a lost leader demoted leads again

Callers saw: writes of a group with sync_replicas 1 are refused for good if the leader of control is lost between the request to step down and its order, and a replica is lost as well. Cause: only the leader that sent the request itself considers the demoted primary; for the next one it is neither a primary that serves again nor a candidate. Change: where nobody can be chosen, the replaced primary is a candidate if it answers as a replica and is not behind any replica that answers. Such a one has each commit that it acknowledged: it was demoted, or rolled back to what a promotion kept.

--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -19,7 +19,7 @@
         event::EventNumber,
         gateway::direct_entries,
         names::SharedName,
-        position::LogTerm,
+        position::{LogPosition, LogTerm},
         route::TargetRole,
         time::Micros,
     },
@@ -166,6 +166,11 @@
 }
 
 impl CandidateRows {
+    /// Returns the last log position that one of them has received.
+    fn furthest(&self) -> Option<LogPosition> {
+        self.rows.iter().map(|(_, row)| row.received).max()
+    }
+
     /// Returns the listed target that answers as primary, if the directory names another one or none.
     fn primary(&self, snapshot: &GroupSnapshot) -> Option<SharedName> {
         let mut newest: Option<(&SharedName, LogTerm)> = None;
@@ -479,8 +484,8 @@
             }
             let rows = self.request_candidates(&snapshot).await;
             let mut choice = self.select_candidate(&snapshot, &rows, plan.ordered.as_ref());
-            if choice.is_none() && demoted {
-                choice = self.demoted_primary(&snapshot).await;
+            if choice.is_none() {
+                choice = self.demoted_primary(&snapshot, &rows, demoted).await;
             }
             let Some(choice) = choice else {
                 if plan.may_be_ordered {
@@ -596,12 +601,21 @@
         demoted
     }
 
-    /// Returns the demoted primary if it accepts work: it has every commit that it acknowledged.
-    async fn demoted_primary(&self, snapshot: &GroupSnapshot) -> Option<CandidateChoice> {
+    /// Returns the replaced primary if it was demoted and accepts work: it has every commit that it acknowledged.
+    ///
+    /// If another leader demoted it, or a promotion took effect since, it is a replica that must not be behind the others.
+    async fn demoted_primary(
+        &self,
+        snapshot: &GroupSnapshot,
+        rows: &CandidateRows,
+        demoted: bool,
+    ) -> Option<CandidateChoice> {
         let target = snapshot.primary().filter(|report| report.state == TargetState::Ready)?;
         let (node, protocol) = (&self.sources.node, &self.sources.protocol);
         let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await?;
-        Some(CandidateChoice::new(target, &[row]))
+        let is_furthest = rows.furthest().is_some_and(|furthest| row.received >= furthest);
+        let is_complete = row.role == TargetRole::Replica && is_furthest;
+        (demoted || is_complete).then(|| CandidateChoice::new(target, &[row]))
     }
 
     /// Returns the target that is the primary at present, even if it is leaving.
