fix(directory): a group whose recorded primary is a replica gets another

Callers saw: writes are refused for good if the recorded primary answers as a replica and no other target leads. Cause: the time without a primary was set back in each pass while the directory names one, so the search for the primary never came to a promotion. Evidence: a_group_whose_primary_is_a_replica_gets_another on: FAILED, no write succeeds within 20 s; 6 s with the change. Change: the time starts anew only when the recorded primary does not answer as a replica.

--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -127,7 +127,7 @@
     leading_since: Micros,
     probe: TargetProbe<P>,
     verdict: PrimaryVerdict,
-    /// When the directory was first seen without a primary of the group; `None` while it has one.
+    /// When the group was first seen without a primary; `None` while the recorded one may be it.
     no_primary_since: Option<Micros>,
 }
 
@@ -289,7 +289,6 @@
             }
             let pause = match snapshot.primary() {
                 Some(primary) => {
-                    self.no_primary_since = None;
                     let primary = primary.clone();
                     self.supervise(&snapshot, &primary).await
                 }
@@ -313,6 +312,7 @@
         if replica_for.is_some_and(|time| time >= REPLICA_ROLE_TIMEOUT) {
             return self.find_primary(snapshot).await;
         }
+        self.no_primary_since = None;
         let mut evidence = PrimaryEvidence {
             leaving: primary.state == TargetState::Draining,
             silent_for: self.probe.silent_since.map_or(Micros::ZERO, |since| now.since(since)),
