review(11): acknowledged commits are lost to a replica that came back empty

Cause: with sync_replicas 1 a replica that starts again under its id without its log still counts as the holder of what its earlier process had confirmed, so control promotes a replica that lacks acknowledged commits. Change: a script with stand-ins in Python (review/harness-3); nothing of the product.

--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,78 @@
+"""A crash takes the primary and the replica beside it; the replica is back first and has lost its log."""
+
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "harness-3"))
+import standin  # noqa: E402
+
+# The primary is down as long as the site's `srv_crash` keeps a primary down; the replica is back earlier.
+PRIMARY_DOWN_S = 7.0
+REPLICA_DOWN_S = 1.5
+
+
+async def write(record, gateway, number, acknowledged, stopped):
+    """Writes one item after the other; reconnects after a broken connection."""
+    connections = 0
+    while not stopped.is_set():
+        connections += 1
+        try:
+            client = await standin.Client(record, f"w{number}c{connections}").open(gateway, "orders")
+            while not stopped.is_set():
+                identifier, _, error, state, _ = await client.run(f"WRITE item{number} {client.count}")
+                if error is None:
+                    acknowledged.append(identifier)
+                if state != "I":
+                    break
+                await asyncio.sleep(0.005)
+            await client.close()
+        except (OSError, ConnectionError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.05)
+
+
+async def case(record, trouble):
+    group = standin.Group("hamper-db", True, record)
+    platform = standin.Platform(group, record)
+    await platform.start()
+    # Lags within those of the site: 8 ms on average, 48 ms at most.
+    primary = standin.Server(group, "i-primary", standin.ZONES[0], 0.008)
+    near = standin.Server(group, "i-near", standin.ZONES[0], 0.004)
+    far = standin.Server(group, "i-far", standin.ZONES[2], 0.045)
+    group.primary = primary
+    deployment = standin.Deployment(record, platform)
+    try:
+        for server in group.servers:
+            server.controls = deployment.controls
+            await server.start()
+        deployment.start_all()
+        await deployment.put_config(standin.config(7, group.name, 1))
+        await deployment.wait_served("orders")
+        acknowledged, stopped = [], asyncio.Event()
+        writers = [asyncio.ensure_future(write(record, deployment.gateways[n % 3], n, acknowledged, stopped))
+                   for n in range(9)]
+        await asyncio.sleep(4.0)
+        if trouble:
+            await primary.crash()
+            await near.crash()
+            await asyncio.sleep(REPLICA_DOWN_S)
+            await near.restart(empty=True)
+            await asyncio.sleep(PRIMARY_DOWN_S - REPLICA_DOWN_S)
+            await primary.restart(empty=False)
+        await asyncio.sleep(6.0)
+        stopped.set()
+        await asyncio.gather(*writers)
+        lost = {identifier for entry in group.rolled_back for identifier in entry.ids}
+        broken = [f"LOST: {identifier} was acknowledged and is not in the log of the server that was promoted"
+                  for identifier in acknowledged if identifier in lost]
+        record.add("acknowledged", len(acknowledged), "lost", len(broken), "primary", group.primary.id)
+        if len(acknowledged) < 100:
+            raise standin.NotRun("fewer than 100 writes were acknowledged")
+        return broken
+    finally:
+        deployment.stop()
+
+
+standin.main(case, HERE)
