--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A replica and then the primary are replaced by plan, one at a time; all processes of the system are killed meanwhile."""
+"""A replica is lost for good; later the primary is replaced by plan, and all processes of the system are killed meanwhile."""
 
 import asyncio
 import os
@@ -13,9 +13,8 @@
 DRAIN_S = 7.0
 # "... and a little longer": time after `drain_ms` until the server sends DELETE and exits.
 LONGER_S = 1.0
-# Pause between two replacements, as `fleetbench kinds` gives it for `release` (gap_s), and that of TROUBLE=apart.
-GAP_S = 1.0
-APART_S = 5.0
+# Time from the loss of the replica, and the start of another server in its place, to the replacement of the primary.
+LOST_BEFORE_S = 12.0
 # The final fault: all processes are killed and are back after this time.
 DOWN_S = 0.8
 RECOVERY_S = 12.0
@@ -60,7 +59,6 @@
 
 
 async def case(record, trouble):
-    apart = os.environ.get("TROUBLE") == "apart"
     group = standin.Group("hamper-db", True, record)
     platform = standin.Platform(group, record)
     await platform.start()
@@ -79,11 +77,14 @@
         await deployment.wait_served("orders")
         load = [asyncio.ensure_future(client_load(record, deployment, n, results, stopped)) for n in range(6)]
         await asyncio.sleep(3.0)
-        await replace(record, group, deployment, replica, "i-new-1")
-        await asyncio.sleep(APART_S if apart else GAP_S)
-        release = None
         if trouble:
-            release = asyncio.ensure_future(replace(record, group, deployment, primary, "i-new-2"))
+            await replica.crash()
+        new = standin.Server(group, "i-new-1", replica.zone, replica.lag)
+        new.controls = deployment.controls
+        await new.start()
+        record.add("new server", new.id)
+        await asyncio.sleep(LOST_BEFORE_S)
+        release = asyncio.ensure_future(replace(record, group, deployment, primary, "i-new-2"))
         await asyncio.sleep(1.5)
         await deployment.put_config(standin.config(9, group.name, 1))
         killed = time.monotonic()
@@ -98,8 +99,7 @@
                 deployment.settings[name]["found"] = False
             deployment.start(name)
         back = time.monotonic()
-        if release:
-            await release
+        await release
         await asyncio.sleep(max(0.0, back + RECOVERY_S + COUNTED_S - time.monotonic()))
         stopped.set()
         await asyncio.gather(*load)
