fix(gateway): a refused reset leaves no values of another session

Cause: `PooledConnection::verify` checks a connection that was idle for long with a RESET. It cleared the record of the session state and returned a success also if the server had refused the RESET; the statement then ran on that connection, whose server still had the former values. Connections that are lent to other gateways pass the same check.

Why it works: a refused RESET is a result of its own, after which the connection is closed and the request gets another one. The record changes only on a success, and `apply_values`, `add_values` and `prepare` refuse a connection with an unacknowledged change, so that none of them can run a statement on it.

No message between processes changed.

--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -16,6 +16,16 @@
 /// Maximum wait for another entry to confirm that it has its connection back; regions are 20 ms apart.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Answer of a target to the check of an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub(crate) enum ConnectionCheck {
+    /// The session state is empty.
+    Reset,
+    /// The target can be reached, but the session state is unknown.
+    Refused,
+}
+
 /// Session variables set by a caller, by name.
 pub(crate) type SessionValues = BTreeMap<Bytes, Bytes>;
 
@@ -154,15 +164,16 @@
     ///
     /// Returns how the attempt ended; the session's statement was not sent.
     pub(crate) async fn apply_values(&mut self, values: &SessionValues) -> Result<(), AttemptEnd> {
+        self.check_certain()?;
         if self.has_values(values) {
             return Ok(());
         }
         self.uncertain = true;
         let mut requests = 0;
-        if !self.values.is_empty() {
+        let needs_reset = !self.values.is_empty();
+        if needs_reset {
             self.connection.send(TargetRequest::Reset);
             requests += 1;
-            self.prepared.clear();
         }
         for (name, value) in values {
             self.connection.send(TargetRequest::Set { name, value });
@@ -176,17 +187,30 @@
         if refused {
             return Err(AttemptEnd::NotSent);
         }
-        self.uncertain = false;
+        if needs_reset {
+            self.prepared.clear();
+        }
         self.values.clone_from(values);
+        self.uncertain = false;
         Ok(())
     }
 
+    /// Checks that the record of the session state is right.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a change of it was not acknowledged.
+    const fn check_certain(&self) -> Result<(), AttemptEnd> {
+        if self.uncertain { Err(AttemptEnd::NotSent) } else { Ok(()) }
+    }
+
     /// Sets the values that changed since [`Self::apply_values`], without a reset.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection broke or the target refused a value.
     pub(crate) async fn add_values(&mut self, values: &SessionValues) -> Result<(), AttemptEnd> {
+        self.check_certain()?;
         for (name, value) in values {
             if self.values.get(name) == Some(value) {
                 continue;
@@ -209,6 +233,7 @@
     ///
     /// Returns an error if the connection broke or the target refused.
     pub(crate) async fn prepare(&mut self, shape: &PreparedShape) -> Result<String, AttemptEnd> {
+        self.check_certain()?;
         if let Some(name) = self.prepared.get(shape) {
             return Ok(name.clone());
         }
@@ -230,9 +255,10 @@
         Ok(name)
     }
 
-    /// Removes the record of a prepared statement that the target reported as unknown.
+    /// Removes the record of a prepared statement that the target reported as unknown; the rest of the record may be as wrong.
     pub(crate) fn remove_prepared(&mut self, shape: &PreparedShape) {
         self.prepared.remove(shape);
+        self.uncertain = true;
     }
 
     /// Closes the connection, or returns it to the entry that relays it if its state is known and clean.
@@ -251,15 +277,20 @@
 
     /// Checks with a reset request that the connection still works in both directions.
     ///
+    /// A refused reset leaves the session state unknown, so that the connection is not reusable.
+    ///
     /// # Errors
     ///
     /// Returns an error if no complete answer arrives.
-    pub(crate) async fn verify(&mut self) -> Result<(), ExchangeError> {
+    pub(crate) async fn verify(&mut self) -> Result<ConnectionCheck, ExchangeError> {
         self.uncertain = true;
         let answer = self.connection.run(TargetRequest::Reset).await?;
-        self.uncertain = answer.outcome.is_err();
+        if answer.outcome.is_err() {
+            return Ok(ConnectionCheck::Refused);
+        }
         self.prepared.clear();
         self.values.clear();
-        Ok(())
+        self.uncertain = false;
+        Ok(ConnectionCheck::Reset)
     }
 }
--- a/crates/gateway/src/pool/idle.rs
+++ b/crates/gateway/src/pool/idle.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        connection::PooledConnection,
+        connection::{ConnectionCheck, PooledConnection},
         target::{ConnectionUser, LeaseOptions, TargetPool, VERIFY_TIMEOUT, close_all},
     },
     banyansill_core::{gateway::ConnectionShare, queue::SlotTicket, time::Micros},
@@ -98,7 +98,7 @@
         found
     }
 
-    /// Returns whether an idle connection still works.
+    /// Returns whether an idle connection still works and carries no session state.
     pub(super) async fn is_alive(
         &self,
         pooled: &mut PooledConnection<P>,
@@ -106,7 +106,7 @@
     ) -> bool {
         let left = options.slot.deadline.since(self.now()).min(VERIFY_TIMEOUT);
         let verified = timeout(left.as_duration(), pooled.verify()).await;
-        matches!(verified, Ok(Ok(())))
+        matches!(verified, Ok(Ok(ConnectionCheck::Reset)))
     }
 
     /// Returns a leased connection to the pool, or closes it if it cannot be reused.
--- a/crates/gateway/src/pool/opening.rs
+++ b/crates/gateway/src/pool/opening.rs
@@ -388,7 +388,7 @@
         let pool = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let verified = timeout(VERIFY_TIMEOUT.as_duration(), pooled.verify()).await;
-            let alive = matches!(verified, Ok(Ok(())));
+            let alive = matches!(verified, Ok(Ok(_)));
             pool.put_back(pooled);
             pool.state.borrow_mut().probing = false;
             if alive {
