fix(core, directory): a primary that leaves is replaced while a replica is missing

Writes were refused from the moment when the primary said that it leaves, all requests after its exit.

Cause: a promotion asks the replicas only, and waits as long as a missing one may be the only holder of an acknowledged commit. The primary that leaves answers for 8 s more and has each of these commits, but it was never asked.

Why it works: once the primary has stepped down, its log bounds every commit that it acknowledged, so a replica that covers this log loses none, whoever is missing. It is asked to step down only when a replica has its whole log, its final log is remembered for the case that it crashes, and it is ordered again if it committed more in between. A log that became shorter is that of a process which started again, and is not final; beside an order that may still take effect only that order's target is chosen.

Related paths: a demoted primary that is ordered again must still have its final log. No message and no stored state changed.

--- a/crates/core/src/directory/failover.rs
+++ b/crates/core/src/directory/failover.rs
@@ -1,6 +1,9 @@
 //! Failure detection for primaries and choice of the replica to promote.
 
-use crate::{names::SharedName, position::LogPosition, time::Micros};
+use {
+    super::{holders::ServerLog, state::EarlierOrder},
+    crate::{names::SharedName, time::Micros},
+};
 
 /// Time for which control's own probes must fail before the primary counts as lost: enough for one probe on the
 /// open connection and two on new ones.
@@ -115,12 +118,42 @@
 pub struct CandidateAnswer {
     /// The replica.
     pub target: SharedName,
-    /// Last log position that the replica has received.
-    pub received: LogPosition,
+    /// Log of the replica.
+    pub log: ServerLog,
     /// Whether the replica may become primary; a leaving replica only reports its position.
     pub eligible: bool,
 }
 
+/// Log of a primary that has stepped down. It has every commit that the primary acknowledged, so a replica that covers it
+/// loses none, whatever other replicas have received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FinalLog(ServerLog);
+
+impl FinalLog {
+    /// Returns the final log of a primary that reported `leading` while it led, and `stepped_down` once it did not.
+    ///
+    /// Returns `None` if its log is shorter by then: the process has started again without it.
+    #[must_use]
+    pub fn of_primary(leading: ServerLog, stepped_down: ServerLog) -> Option<Self> {
+        let log = ServerLog { term: leading.term, ..stepped_down };
+        log.covers(leading).then_some(Self(log))
+    }
+
+    /// Returns the final log of a primary that another leader has asked to step down, or that answers for the first time.
+    ///
+    /// An empty log may be that of a process that has started again without it.
+    #[must_use]
+    pub const fn of_replica(log: ServerLog) -> Option<Self> {
+        if log.received.offset > 0 { Some(Self(log)) } else { None }
+    }
+
+    /// Returns whether a server with the given log has all of it.
+    #[must_use]
+    pub fn is_covered_by(self, log: ServerLog) -> bool {
+        log.covers(self.0)
+    }
+}
+
 /// Returns the replica to promote, or `None` while that cannot be decided.
 ///
 /// The eligible replica with the highest received position loses the fewest commits. Where a commit waits for
@@ -137,14 +170,47 @@
     if sync > 0 && missing >= sync {
         return None;
     }
-    let furthest = answers.iter().map(|answer| answer.received).max()?;
+    let furthest = answers.iter().map(|answer| answer.log.received).max()?;
+    furthest_candidate(answers, |answer| sync == 0 || answer.log.received >= furthest)
+}
+
+/// Returns the replica to promote after the primary has stepped down, or `None` if no response is that of a replica which
+/// covers its final log.
+///
+/// Unlike [`choose_candidate`], it does not need the replicas that do not respond. If an earlier order may still take
+/// effect, only its target is returned: another one would roll back what that one acknowledges in between.
+#[must_use]
+pub fn choose_successor(
+    answers: &[CandidateAnswer],
+    last: FinalLog,
+    earlier: &EarlierOrder,
+) -> Option<SharedName> {
+    let FinalLog(last) = last;
+    // No replica can be ahead of the log of its primary.
+    if answers.iter().any(|answer| !last.covers(answer.log)) {
+        return None;
+    }
+    furthest_candidate(answers, |answer| {
+        let may_lead = match earlier {
+            EarlierOrder::Nothing => true,
+            EarlierOrder::Target(target) => answer.target == *target,
+            EarlierOrder::Unknown => false,
+        };
+        may_lead && answer.log.covers(last)
+    })
+}
+
+/// Returns the eligible replica with the highest received position among those that `is_allowed` accepts.
+fn furthest_candidate<F>(answers: &[CandidateAnswer], is_allowed: F) -> Option<SharedName>
+where
+    F: Fn(&CandidateAnswer) -> bool,
+{
     let mut best: Option<&CandidateAnswer> = None;
     for answer in answers {
-        let behind = sync > 0 && answer.received < furthest;
-        if !answer.eligible || behind {
+        if !answer.eligible || !is_allowed(answer) {
             continue;
         }
-        if best.is_none_or(|best| best.received < answer.received) {
+        if best.is_none_or(|best| best.log.received < answer.log.received) {
             best = Some(answer);
         }
     }
@@ -167,6 +233,6 @@
     let (Some(best_answer), Some(answer)) = (answer_of(&best), ordered.and_then(answer_of)) else {
         return best;
     };
-    let lacks_commits = sync_replicas > 0 && answer.received < best_answer.received;
+    let lacks_commits = sync_replicas > 0 && answer.log.received < best_answer.log.received;
     if answer.eligible && !lacks_commits { answer.target.clone() } else { best }
 }
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -17,8 +17,8 @@
 pub use {
     command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
     failover::{
-        AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, PrimaryEvidence, PrimaryVerdict,
-        VANISHED_ENTRY_TTL, choose_candidate, keep_ordered,
+        AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, FinalLog, PrimaryEvidence,
+        PrimaryVerdict, VANISHED_ENTRY_TTL, choose_candidate, choose_successor, keep_ordered,
     },
     holders::{DepartedHolder, DepartedHolders, HolderProof, ProofStep, ServerLog},
     routes::{ActiveRoutes, GroupRule, ReadRule, RouteDraft, RouteFault, RouteLimits, RouteRule},
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -7,15 +7,16 @@
         next_repair,
     },
     directory::{
-        CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, EarlierOrder, GroupRule,
-        MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, PrimaryEvidence, PrimaryVerdict, ProcessHost,
-        ProcessKind, PromotionRecord, ReadRule, ReportFault, ReportOrder, RouteDraft, RouteFault,
-        RouteRule, TargetReport, TargetState, choose_candidate, keep_ordered,
+        CandidateAnswer, DirectoryCommand, DirectoryReply, DirectoryState, EarlierOrder, FinalLog,
+        GroupRule, MAX_REPORT_NAME_BYTES, MAX_TARGET_SLOTS, PrimaryEvidence, PrimaryVerdict,
+        ProcessHost, ProcessKind, PromotionRecord, ReadRule, ReportFault, ReportOrder, RouteDraft,
+        RouteFault, RouteRule, ServerLog, TargetReport, TargetState, choose_candidate,
+        choose_successor, keep_ordered,
     },
     gateway::RoutingTable,
     log_rate_limit::LogRateLimiter,
     names::SharedName,
-    position::LogPosition,
+    position::{LogPosition, LogTerm},
     route::TargetRole,
     state_machine::StateMachine,
     time::Micros,
@@ -364,7 +365,11 @@
 }
 
 fn answer(target: &str, offset: u64, eligible: bool) -> CandidateAnswer {
-    CandidateAnswer { target: target.into(), received: LogPosition::new(1, offset), eligible }
+    CandidateAnswer { target: target.into(), log: log(1, offset), eligible }
+}
+
+const fn log(term: u64, offset: u64) -> ServerLog {
+    ServerLog { term: LogTerm(term), received: LogPosition::new(term, offset) }
 }
 
 // Guards against the choice of a replica that loses acknowledged commits.
@@ -383,15 +388,54 @@
     assert_eq!(choose_candidate(&answers[..2], 3, 2).as_deref(), Some("b"));
 }
 
+// Guards against a promotion that waits for missing replicas although the primary has stepped down, and against one that loses
+// what it had acknowledged.
+#[test]
+fn a_replica_that_covers_the_final_log_is_chosen() {
+    let answers = [answer("a", 5, true), answer("b", 9, true), answer("c", 9, false)];
+    let chosen = |answers: &[CandidateAnswer], last, earlier: &EarlierOrder| {
+        choose_successor(answers, last, earlier).map(|target| target.to_string())
+    };
+    let nothing = EarlierOrder::Nothing;
+    let last = FinalLog::of_primary(log(1, 9), log(1, 9)).expect("a final log");
+    assert_eq!(chosen(&answers, last, &nothing).as_deref(), Some("b"));
+    assert_eq!(chosen(&answers[..1], last, &nothing), None, "it lacks commits");
+    assert_eq!(chosen(&answers[2..], last, &nothing), None, "it is leaving");
+    let longer = FinalLog::of_primary(log(1, 9), log(1, 10)).expect("a final log");
+    assert_eq!(chosen(&answers, longer, &nothing), None, "committed before the step down");
+    let shorter = FinalLog::of_replica(log(1, 5)).expect("a final log");
+    assert_eq!(chosen(&answers, shorter, &nothing), None, "not the log of their primary");
+}
+
+// Guards against a promotion beside an order that may still take effect: its target may acknowledge commits in between.
+#[test]
+fn only_the_target_of_an_earlier_order_covers_the_final_log() {
+    let answers = [answer("a", 9, true), answer("b", 9, true)];
+    let last = FinalLog::of_primary(log(1, 9), log(1, 9)).expect("a final log");
+    let chosen = |earlier| choose_successor(&answers, last, &earlier);
+    assert_eq!(chosen(EarlierOrder::Target("b".into())), Some("b".into()));
+    assert_eq!(chosen(EarlierOrder::Target("gone".into())), None);
+    assert_eq!(chosen(EarlierOrder::Unknown), None);
+}
+
+// Guards against a primary that has started again without its log and is taken for one that has stepped down.
+#[test]
+fn a_log_that_became_shorter_is_not_final() {
+    assert_eq!(FinalLog::of_primary(log(1, 9), log(1, 8)), None);
+    assert_eq!(FinalLog::of_primary(log(1, 9), log(0, 0)), None);
+    assert_eq!(FinalLog::of_replica(log(0, 0)), None);
+    // It has led the term without a commit, and reports the last entry of the term before once it has stepped down.
+    let stepped_down = ServerLog { term: LogTerm(3), received: LogPosition::new(1, 9) };
+    let last = FinalLog::of_primary(log(2, 9), stepped_down).expect("a final log");
+    let replica = ServerLog { term: LogTerm(2), received: LogPosition::new(1, 9) };
+    let answers = [CandidateAnswer { target: "a".into(), log: replica, eligible: true }];
+    assert_eq!(choose_successor(&answers, last, &EarlierOrder::Nothing), Some("a".into()));
+}
+
 // Guards against a second change of primary because the leader that ordered the first one is lost, and against keeping an
 // order that loses commits which a replica confirmed.
 #[test]
 fn the_order_of_a_lost_leader_is_kept() {
-    let answer = |target: &str, offset, eligible| CandidateAnswer {
-        target: target.into(),
-        received: LogPosition::new(1, offset),
-        eligible,
-    };
     let answers =
         [answer("a", 5, true), answer("b", 9, true), answer("c", 9, true), answer("d", 9, false)];
     let kept = |ordered: &str, sync_replicas| {
--- a/crates/directory/src/holder_proof.rs
+++ b/crates/directory/src/holder_proof.rs
@@ -4,7 +4,7 @@
     crate::{
         group_snapshot::GroupSnapshot,
         node::DirectoryNode,
-        probe::{ControlRequest, request_row, request_rows},
+        probe::{ControlRequest, request_row, request_rows, server_log},
         supervisor::SupervisorSources,
     },
     banyansill_core::{
@@ -24,10 +24,6 @@
 /// Interval between two steps of a proof.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
 
-const fn server_log(row: &ProbeRow) -> ServerLog {
-    ServerLog { term: row.term, received: row.received }
-}
-
 /// Proof of one group, repeated while this replica is the leader.
 pub(crate) struct HolderTask<L, P> {
     node: DirectoryNode<L>,
--- a/crates/directory/src/probe.rs
+++ b/crates/directory/src/probe.rs
@@ -2,7 +2,10 @@
 
 use {
     banyansill_core::{
-        directory::TargetReport, names::SharedName, position::LogTerm, time::Micros,
+        directory::{ServerLog, TargetReport},
+        names::SharedName,
+        position::LogTerm,
+        time::Micros,
         transaction::TransactionStatus,
     },
     banyansill_runtime::clock::MonotonicClock,
@@ -155,6 +158,11 @@
     Demote(LogTerm),
 }
 
+/// Returns the log that a target reports.
+pub(crate) const fn server_log(row: &ProbeRow) -> ServerLog {
+    ServerLog { term: row.term, received: row.received }
+}
+
 /// Sends a request to a target on a new connection; returns `None` if it does not respond in time.
 pub(crate) async fn request_row<P>(
     protocol: &P,
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -5,7 +5,7 @@
         group_snapshot::GroupSnapshot,
         holder_proof::HolderTask,
         node::DirectoryNode,
-        probe::{ControlRequest, TargetProbe, request_row, request_rows},
+        probe::{ControlRequest, TargetProbe, request_row, request_rows, server_log},
         promotion::{PromotionOrder, PromotionPort, PromotionReply},
         reachability::EntryReports,
     },
@@ -13,8 +13,8 @@
         collections::FastMap,
         directory::{
             AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, EarlierOrder,
-            PrimaryEvidence, PrimaryVerdict, PromotionRecord, TargetReport, TargetState,
-            choose_candidate, keep_ordered,
+            FinalLog, PrimaryEvidence, PrimaryVerdict, PromotionRecord, ServerLog, TargetReport,
+            TargetState, choose_candidate, choose_successor, keep_ordered,
         },
         event::EventNumber,
         gateway::direct_entries,
@@ -134,8 +134,8 @@
 /// What a promotion is about to do.
 struct PromotionPlan {
     fence: u64,
-    /// Whether an earlier promotion that this one replaces may have been ordered.
-    may_be_ordered: bool,
+    /// What the promotions that this one replaces may have ordered.
+    earlier: EarlierOrder,
     /// Primary that is replaced.
     replaced: Option<SharedName>,
     /// Target whose promotion another leader may have ordered.
@@ -151,6 +151,12 @@
     is_disputed: bool,
 }
 
+impl PromotionPlan {
+    fn may_be_ordered(&self) -> bool {
+        self.earlier != EarlierOrder::Nothing
+    }
+}
+
 impl CandidateChoice {
     fn new(target: &TargetReport, rows: &[ProbeRow]) -> Self {
         Self { target: target.clone(), pause_term: next_term(rows), is_disputed: false }
@@ -171,6 +177,18 @@
         self.rows.iter().map(|(_, row)| row.received).max()
     }
 
+    fn answers(&self, snapshot: &GroupSnapshot) -> Vec<CandidateAnswer> {
+        let replicas = snapshot.replicas();
+        let mut answers = Vec::new();
+        for (target, row) in &self.rows {
+            let report = replicas.iter().find(|report| report.target == *target);
+            let eligible = report.is_some_and(|report| report.state == TargetState::Ready);
+            let (target, log) = (target.clone(), server_log(row));
+            answers.push(CandidateAnswer { target, log, eligible });
+        }
+        answers
+    }
+
     /// Returns the listed target that answers as primary, if the directory names another one or none.
     fn primary(&self, snapshot: &GroupSnapshot) -> Option<SharedName> {
         let mut newest: Option<(&SharedName, LogTerm)> = None;
@@ -241,6 +259,15 @@
     }
 }
 
+/// What a promotion has learned from the primary that it replaces.
+#[derive(Default)]
+struct ReplacedPrimary {
+    /// Whether it has confirmed that it does not lead any more.
+    has_stepped_down: bool,
+    /// Its log from then on.
+    last: Option<FinalLog>,
+}
+
 /// Outcome of a promotion.
 enum PromotionOutcome {
     /// The target is the primary.
@@ -419,7 +446,7 @@
         };
         let plan = PromotionPlan {
             fence,
-            may_be_ordered: earlier != EarlierOrder::Nothing,
+            earlier,
             replaced: snapshot.record.primary.clone().filter(|name| ordered.as_ref() != Some(name)),
             ordered,
         };
@@ -472,7 +499,7 @@
     /// Polls the replicas until one can be chosen, and orders its promotion. Without an earlier order, the promotion is
     /// abandoned if the old primary serves again.
     async fn promote_candidate(&mut self, plan: &PromotionPlan) -> PromotionOutcome {
-        let mut demoted = false;
+        let mut replaced = ReplacedPrimary::default();
         loop {
             // Targets join and leave while a promotion waits for a candidate.
             let Some(mut snapshot) = self.snapshot().await else {
@@ -482,13 +509,23 @@
             if let Some(choice) = self.ordered_primary(plan, &snapshot).await {
                 return self.order_choice(choice, plan.fence, &snapshot).await;
             }
+            if replaced.has_stepped_down && self.is_leading(&snapshot).await {
+                // It has started again, and may have acknowledged commits since.
+                replaced = ReplacedPrimary::default();
+            }
             let rows = self.request_candidates(&snapshot).await;
-            let mut choice = self.select_candidate(&snapshot, &rows, plan.ordered.as_ref());
+            let mut choice = self.select_candidate(&snapshot, &rows, plan, replaced.last);
+            if choice.is_none() && replaced.last.is_none() {
+                self.request_final_log(&snapshot, &rows, plan, &mut replaced).await;
+                if replaced.last.is_some() {
+                    continue;
+                }
+            }
             if choice.is_none() {
-                choice = self.demoted_primary(&snapshot, &rows, demoted).await;
+                choice = self.demoted_primary(&snapshot, &rows, &replaced).await;
             }
             let Some(choice) = choice else {
-                if plan.may_be_ordered {
+                if plan.may_be_ordered() {
                     // Under the new fence, which outdates the earlier order, the primary stays what it is.
                     if let Some(primary) = self.present_primary(&snapshot).await {
                         return self.order_choice(primary, plan.fence, &snapshot).await;
@@ -501,17 +538,21 @@
                 if !self.confirm_leadership().await {
                     return PromotionOutcome::Unfinished;
                 }
-                if !plan.may_be_ordered && !demoted {
+                if !plan.may_be_ordered() && !replaced.has_stepped_down {
                     // A replica that may be chosen can catch up with one that is leaving.
                     self.resume_replicas().await;
                 }
                 sleep(RETRY_INTERVAL).await;
                 continue;
             };
-            if snapshot.waits_for_replicas() && !demoted {
-                demoted = self.demote_primary(&snapshot, choice.pause_term).await;
-                if demoted {
+            if snapshot.waits_for_replicas() && !replaced.has_stepped_down {
+                let last = self.demote_primary(&snapshot, choice.pause_term).await;
+                if let Some(last) = last {
                     // Until now a target that has joined meanwhile may have confirmed commits.
+                    replaced = ReplacedPrimary {
+                        has_stepped_down: true,
+                        last: FinalLog::of_replica(last),
+                    };
                     continue;
                 }
             }
@@ -519,6 +560,54 @@
         }
     }
 
+    /// Returns whether the recorded primary answers as primary.
+    async fn is_leading(&self, snapshot: &GroupSnapshot) -> bool {
+        let Some(target) = snapshot.primary() else { return false };
+        let (node, protocol) = (&self.sources.node, &self.sources.protocol);
+        let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await;
+        row.is_some_and(|row| row.role == TargetRole::Primary)
+    }
+
+    /// Asks a primary that leaves to step down for its final log, once a replica has its whole log.
+    ///
+    /// Until then the primary goes on, so that the replicas can catch up with it; once it has stepped down, they cannot.
+    async fn request_final_log(
+        &self,
+        snapshot: &GroupSnapshot,
+        rows: &CandidateRows,
+        plan: &PromotionPlan,
+        replaced: &mut ReplacedPrimary,
+    ) {
+        if !snapshot.waits_for_replicas() {
+            return;
+        }
+        let leaving = snapshot.primary().filter(|report| report.state == TargetState::Draining);
+        let Some(target) = leaving else { return };
+        let (node, protocol) = (&self.sources.node, &self.sources.protocol);
+        let request = ControlRequest::Position;
+        let Some(row) = request_row(protocol, &node.own.host, target, request).await else {
+            return;
+        };
+        let log = server_log(&row);
+        if row.role == TargetRole::Replica {
+            // A lost leader has demoted it.
+            replaced.last = FinalLog::of_replica(log);
+            return;
+        }
+        let answers = rows.answers(snapshot);
+        let present = FinalLog::of_primary(log, log);
+        let successor = present.and_then(|log| choose_successor(&answers, log, &plan.earlier));
+        if successor.is_none() {
+            return;
+        }
+        let term = rows.pause_term.max(next_term(&[row]));
+        let Some(stepped_down) = self.demote_primary(snapshot, term).await else { return };
+        *replaced = ReplacedPrimary {
+            has_stepped_down: true,
+            last: FinalLog::of_primary(log, stepped_down),
+        };
+    }
+
     /// Records the choice, and orders the promotion.
     async fn order_choice(
         &mut self,
@@ -569,23 +658,23 @@
         (row.role == TargetRole::Primary).then(|| CandidateChoice::new(target, &[row]))
     }
 
-    /// Asks the recorded primary to stop acknowledging commits, if control reaches it; returns whether it has confirmed.
+    /// Asks the recorded primary to stop acknowledging commits, if control reaches it; returns its log once it has confirmed.
     ///
     /// Otherwise it confirms commits that the candidate lacks as soon as another target receives them.
-    async fn demote_primary(&self, snapshot: &GroupSnapshot, term: LogTerm) -> bool {
-        let Some(primary) = snapshot.primary() else { return false };
+    async fn demote_primary(&self, snapshot: &GroupSnapshot, term: LogTerm) -> Option<ServerLog> {
+        let primary = snapshot.primary()?;
         // A leader that was suspended must not demote the primary of a later one.
         if self.probe.silent_since.is_some() || !self.confirm_leadership().await {
-            return false;
+            return None;
         }
         let (node, protocol) = (&self.sources.node, &self.sources.protocol);
         let begun = self.now();
-        let mut demoted = false;
-        while !demoted && self.now().since(begun) < DEMOTION_TIMEOUT {
+        let mut log = None;
+        while log.is_none() && self.now().since(begun) < DEMOTION_TIMEOUT {
             let request = ControlRequest::Demote(term);
             let row = request_row(protocol, &node.own.host, primary, request).await;
-            demoted = row.is_some_and(|row| row.role == TargetRole::Replica);
-            if !demoted {
+            log = row.filter(|row| row.role == TargetRole::Replica).map(|row| server_log(&row));
+            if log.is_none() {
                 sleep(RETRY_INTERVAL).await;
             }
         }
@@ -595,27 +684,35 @@
             group:display = self.group,
             server:display = primary.target,
             term = term.0,
-            demoted;
+            demoted = log.is_some();
             ""
         );
-        demoted
+        log
     }
 
-    /// Returns the replaced primary if it was demoted and accepts work: it has every commit that it acknowledged.
+    /// Returns the replaced primary if it has stepped down and still has its whole log: it has every commit that it
+    /// acknowledged. One that leaves leads on until another one can be chosen.
     ///
-    /// If another leader demoted it, or a promotion took effect since, it is a replica that must not be behind the others.
+    /// If its final log is not known, because another leader demoted it, it must not be behind the others.
     async fn demoted_primary(
         &self,
         snapshot: &GroupSnapshot,
         rows: &CandidateRows,
-        demoted: bool,
+        replaced: &ReplacedPrimary,
     ) -> Option<CandidateChoice> {
-        let target = snapshot.primary().filter(|report| report.state == TargetState::Ready)?;
+        let may_lead = |report: &&TargetReport| {
+            report.state == TargetState::Ready || snapshot.waits_for_replicas()
+        };
+        let target = snapshot.primary().filter(may_lead)?;
         let (node, protocol) = (&self.sources.node, &self.sources.protocol);
         let row = request_row(protocol, &node.own.host, target, ControlRequest::Position).await?;
-        let is_furthest = rows.furthest().is_some_and(|furthest| row.received >= furthest);
-        let is_complete = row.role == TargetRole::Replica && is_furthest;
-        (demoted || is_complete).then(|| CandidateChoice::new(target, &[row]))
+        // A process that has started again without its log answers as a replica as well.
+        let is_whole = match replaced.last {
+            Some(last) => last.is_covered_by(server_log(&row)),
+            None => rows.furthest().is_some_and(|furthest| row.received >= furthest),
+        };
+        let is_complete = row.role == TargetRole::Replica && is_whole;
+        is_complete.then(|| CandidateChoice::new(target, &[row]))
     }
 
     /// Returns the target that is the primary at present, even if it is leaving.
@@ -667,24 +764,24 @@
 
     /// Chooses the replica with the highest received log position; returns `None` while that cannot be decided.
     ///
-    /// The one that another leader may have ordered comes first: its promotion may take effect in any case.
+    /// The one that another leader may have ordered comes first: its promotion may take effect in any case. `last` is the
+    /// final log of the replaced primary, if that is known.
     fn select_candidate(
         &self,
         snapshot: &GroupSnapshot,
         rows: &CandidateRows,
-        ordered: Option<&SharedName>,
+        plan: &PromotionPlan,
+        last: Option<FinalLog>,
     ) -> Option<CandidateChoice> {
         let replicas = snapshot.replicas();
-        let mut answers = Vec::new();
-        for (target, row) in &rows.rows {
-            let report = replicas.iter().find(|report| report.target == *target);
-            let eligible = report.is_some_and(|report| report.state == TargetState::Ready);
-            let (target, received) = (target.clone(), row.received);
-            answers.push(CandidateAnswer { target, received, eligible });
-        }
+        let answers = rows.answers(snapshot);
         let holders = replicas.len() + snapshot.holders.len();
-        let chosen = choose_candidate(&answers, holders, snapshot.sync_replicas)
+        let ordered = plan.ordered.as_ref();
+        let mut chosen = choose_candidate(&answers, holders, snapshot.sync_replicas)
             .map(|best| keep_ordered(best, ordered, &answers, snapshot.sync_replicas));
+        if chosen.is_none() {
+            chosen = last.and_then(|last| choose_successor(&answers, last, &plan.earlier));
+        }
         log::info!(
             target: "event",
             event:display = EventNumber::CandidateChosen,
@@ -692,6 +789,7 @@
             server:display = chosen.as_deref().unwrap_or("-"),
             replicas = replicas.len(),
             departed = snapshot.holders.len(),
+            last:debug,
             answers:debug;
             ""
         );
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -118,6 +118,14 @@
         self.plan.send_modify(|plan| plan.refuse = refuse);
     }
 
+    /// Closes the listener and the present connections, as the end of a process does: the address refuses connections.
+    pub async fn close(&mut self) {
+        self.cut_present();
+        self.task.abort();
+        // Ends with the cancellation.
+        let _ = (&mut self.task).await;
+    }
+
     /// Returns how many connections were accepted so far.
     #[must_use]
     pub fn accepted(&self) -> u64 {
