fix(directory): the proof of departed holders goes on during a promotion

Cause: the proof that a departed replica is not needed made no step while a promotion was recorded, and the promotion waited for the proof. The step down of a leaving primary ends that wait if the primary confirms it; with one that does not, the group was still stuck.

Why it works: as long as no order to replace the recorded primary can take effect, it is the only one that acknowledges, and its log after a departure has all that the departed process confirmed. Nothing in the proof needs the promotion to be over.

Related paths: docs/platform.md lists what each wait of the directory waits for; no two wait for each other. No message and no stored state changed.

--- a/crates/directory/src/group_snapshot.rs
+++ b/crates/directory/src/group_snapshot.rs
@@ -2,8 +2,8 @@
 
 use banyansill_core::{
     directory::{
-        DepartedHolder, DirectoryState, GroupRecord, ProcessHost, ReportOrder, TargetReport,
-        TargetState,
+        DepartedHolder, DirectoryState, EarlierOrder, GroupRecord, ProcessHost, PromotionRecord,
+        ReportOrder, TargetReport, TargetState,
     },
     gateway::ConnectionRule,
     names::SharedName,
@@ -53,6 +53,14 @@
         self.targets.iter().find(|report| report.target == *name)
     }
 
+    /// Returns the recorded primary, unless the order to promote another target may take effect.
+    pub(crate) fn undisputed_primary(&self) -> Option<&TargetReport> {
+        let promotion = self.record.promotion.as_ref();
+        let is_ordered =
+            |promotion: &PromotionRecord| promotion.last_order() != EarlierOrder::Nothing;
+        self.primary().filter(|_| !promotion.is_some_and(is_ordered))
+    }
+
     /// Returns whether a commit of the group waits for replicas.
     pub(crate) const fn waits_for_replicas(&self) -> bool {
         self.sync_replicas > 0
--- a/crates/directory/src/holder_proof.rs
+++ b/crates/directory/src/holder_proof.rs
@@ -61,7 +61,8 @@
     }
 
     async fn take_step(&mut self, snapshot: &GroupSnapshot) {
-        let primary = snapshot.primary().filter(|_| snapshot.record.promotion.is_none());
+        // A promotion may wait for this proof, so the proof does not wait for its end.
+        let primary = snapshot.undisputed_primary();
         if self.primary.as_ref() != primary.map(|primary| &primary.target) {
             self.primary = primary.map(|primary| primary.target.clone());
             self.proof.reset();
