fix(core, directory): a replica that has ended for good no longer blocks a promotion

Callers saw: with `sync_replicas` 1, no request is served for good after the loss of a primary, if a replica was lost ten seconds or more before without a farewell (RECOVER).

Cause: the lost replica stays in the directory, and a promotion counts it for ever as one that does not answer and may be the only holder of a commit.

Why it works: an address that refuses connections, or belongs to another server, shows that the process has ended; each commit that it confirmed is in the log that the primary has afterwards. When the remaining replicas have that log, the ended one holds nothing that they lack, and the new command RemoveEnded takes it off the list, in stored state.

--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -87,6 +87,14 @@
         /// New primary; `None` if the promotion was abandoned before it was ordered.
         primary: Option<SharedName>,
     },
+    /// Removes a replica whose process has ended without a farewell, and whose commits the remaining replicas have. Earlier
+    /// versions reject it.
+    RemoveEnded {
+        /// Name of the target.
+        target: SharedName,
+        /// Start time of the process; the command changes nothing if another one is recorded by now.
+        incarnation: u64,
+    },
     /// Records that the remaining replicas of a group have what departed ones had received. Earlier versions reject it.
     ConfirmHolders {
         /// Group.
--- a/crates/core/src/directory/holders.rs
+++ b/crates/core/src/directory/holders.rs
@@ -3,6 +3,7 @@
 use {
     super::targets::{TargetReport, TargetState},
     crate::{
+        collections::FastMap,
         names::SharedName,
         position::{LogPosition, LogTerm},
         time::Micros,
@@ -150,6 +151,53 @@
     }
 }
 
+/// Time for which the address of a replica must refuse connections until its process counts as ended for good; one that
+/// restarts accepts them again within seconds.
+const REPLICA_END_TIMEOUT: Micros = Micros::from_secs(4);
+
+/// Replicas whose addresses refuse connections, with the time since when they do.
+///
+/// Only that shows that a process has ended: one that does not respond may go on receiving and confirming commits.
+#[derive(Clone, Debug, Default)]
+pub struct EndedReplicas {
+    since: FastMap<SharedName, (u64, Micros)>,
+}
+
+impl EndedReplicas {
+    /// Takes a check of the replica with the given start time, and returns whether its process has ended for good.
+    pub fn observe(
+        &mut self,
+        now: Micros,
+        target: &SharedName,
+        incarnation: u64,
+        is_refused: bool,
+    ) -> bool {
+        if !is_refused {
+            self.since.remove(target);
+            return false;
+        }
+        let recorded = self.since.get(target).filter(|(known, _)| *known == incarnation);
+        let (_, since) = *recorded.unwrap_or(&(incarnation, now));
+        self.since.insert(target.clone(), (incarnation, since));
+        now.since(since) >= REPLICA_END_TIMEOUT
+    }
+
+    /// Forgets the replicas that are not listed any more.
+    pub fn retain<F>(&mut self, is_listed: F)
+    where
+        F: Fn(&SharedName) -> bool,
+    {
+        self.since.retain(|target, _| is_listed(target));
+    }
+}
+
+/// Returns whether as many replicas as a commit waits for have all that the primary had.
+#[must_use]
+pub fn is_covered(primary: ServerLog, replicas: &[ServerLog], sync_replicas: u32) -> bool {
+    let covering = replicas.iter().filter(|replica| replica.covers(primary)).count();
+    u32::try_from(covering).unwrap_or(u32::MAX) >= sync_replicas
+}
+
 /// Log of one server as it reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerLog {
@@ -239,8 +287,7 @@
     /// Takes the logs of the replicas that answered.
     pub fn replicas_answered(&mut self, replicas: &[ServerLog], sync_replicas: u32) {
         let ProofStage::Ended { until, primary } = self.stage else { return };
-        let covering = replicas.iter().filter(|replica| replica.covers(primary)).count();
-        if u32::try_from(covering).unwrap_or(u32::MAX) >= sync_replicas {
+        if is_covered(primary, replicas, sync_replicas) {
             self.stage = ProofStage::Covered { until };
         }
     }
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -20,7 +20,10 @@
         AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, FinalLog, PrimaryEvidence,
         PrimaryVerdict, VANISHED_ENTRY_TTL, choose_candidate, choose_successor, keep_ordered,
     },
-    holders::{DepartedHolder, DepartedHolders, HolderProof, ProofStep, ServerLog},
+    holders::{
+        DepartedHolder, DepartedHolders, EndedReplicas, HolderProof, ProofStep, ServerLog,
+        is_covered,
+    },
     routes::{ActiveRoutes, GroupRule, ReadRule, RouteDraft, RouteFault, RouteLimits, RouteRule},
     state::{
         DirectoryItem, DirectorySet, DirectoryState, EarlierOrder, GroupRecord, ProcessHost,
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -266,6 +266,9 @@
             }
             DirectoryCommand::RecordTarget { report } => Ok(self.record_target(index, report)),
             DirectoryCommand::RemoveTarget { target } => Ok(self.remove_target(index, &target)),
+            DirectoryCommand::RemoveEnded { target, incarnation } => {
+                Ok(self.remove_ended(index, target, incarnation))
+            }
             DirectoryCommand::ConfirmHolders { group, until } => {
                 Ok(self.data.holders.confirm(&group, until))
             }
@@ -375,6 +378,19 @@
         true
     }
 
+    /// Removes a replica that is recorded again as soon as it reports itself, also under the same start time.
+    fn remove_ended(&mut self, index: u64, target: SharedName, incarnation: u64) -> bool {
+        let Some(report) = self.data.targets.get(&target) else { return false };
+        let record = self.data.groups.get(&report.group);
+        let is_primary = record.is_some_and(|record| record.primary.as_ref() == Some(&target));
+        if is_primary || report.order.incarnation != incarnation {
+            return false;
+        }
+        self.data.targets.remove(&target);
+        self.record_change(index, DirectoryItem::Target(target));
+        true
+    }
+
     /// Records that the process of a replica has ended, if commits of its group wait for replicas.
     fn record_holder(&mut self, index: u64, report: &TargetReport) {
         let record = self.data.groups.get(&report.group);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -171,6 +171,8 @@
     JoinedTargetPaused = 413, "joined target paused";
     /// The remaining replicas of a group have what departed ones had received.
     HoldersConfirmed = 414, "departed holders confirmed";
+    /// A replica whose process had ended was removed; the remaining ones have its commits.
+    EndedReplicaRemoved = 415, "ended replica removed";
     /// An entry holds a node lease.
     LeaseGained = 501, "node lease gained";
     /// An entry lost its node lease.
--- a/crates/core/tests/departed_holders.rs
+++ b/crates/core/tests/departed_holders.rs
@@ -3,8 +3,8 @@
 use banyansill_core::{
     compression::{MAX_SNAPSHOT_BYTES, compress, decompress},
     directory::{
-        DirectoryCommand, DirectoryReply, DirectoryState, GroupRule, HolderProof, ProofStep,
-        ReportOrder, RouteDraft, ServerLog, TargetReport, TargetState,
+        DirectoryCommand, DirectoryReply, DirectoryState, EndedReplicas, GroupRule, HolderProof,
+        ProofStep, ReportOrder, RouteDraft, ServerLog, TargetReport, TargetState,
     },
     names::SharedName,
     position::{LogPosition, LogTerm},
@@ -207,3 +207,51 @@
     assert_eq!(proof.next_step(later, 44, false), ProofStep::Wait);
     assert_eq!(proof.next_step(later + Micros::from_secs(2), 44, false), ProofStep::AskPrimary);
 }
+
+// Guards against a promotion that waits for a replica which has ended for good without a farewell.
+#[test]
+fn a_replica_whose_address_refuses_connections_has_ended() {
+    let (second, target) = (Micros::from_secs(1), SharedName::from("near"));
+    let mut ended = EndedReplicas::default();
+    let mut now = Micros::from_secs(100);
+    assert!(!ended.observe(now, &target, 7, true));
+    now += second;
+    assert!(!ended.observe(now, &target, 7, false), "it does not respond, or accepts connections");
+    let begun = now;
+    while now.since(begun) < Micros::from_secs(4) {
+        assert!(!ended.observe(now, &target, 7, true), "it may restart");
+        now += second;
+    }
+    assert!(!ended.observe(now, &target, 8, true), "its new process has reported itself");
+    now += Micros::from_secs(4);
+    assert!(ended.observe(now, &target, 8, true));
+    ended.retain(|_| false);
+    assert!(!ended.observe(now, &target, 8, true));
+}
+
+// Guards against the removal of a process that has started meanwhile, or of the primary, and against one that hides a replica
+// which comes back.
+#[test]
+fn an_ended_replica_is_recorded_again_when_it_returns() {
+    let mut directory = Directory::new();
+    let primary =
+        TargetReport { role: TargetRole::Primary, ..report("primary", "sync", "10.0.0.1:1", 7) };
+    directory.record(primary);
+    directory.record(report("near", "sync", ADDRESS, 8));
+    let remove = |target: &str, incarnation| DirectoryCommand::RemoveEnded {
+        target: target.into(),
+        incarnation,
+    };
+    let is_listed = |directory: &Directory, target: &str| {
+        directory.state.targets().contains_key(&SharedName::from(target))
+    };
+    directory.apply(&remove("near", 7));
+    assert!(is_listed(&directory, "near"), "another process");
+    directory.apply(&remove("primary", 7));
+    assert!(is_listed(&directory, "primary"), "the primary");
+    directory.apply(&remove("near", 8));
+    assert!(!is_listed(&directory, "near"));
+    assert!(directory.holders("sync").is_empty(), "the remaining replicas have what it had");
+    directory.record(report("near", "sync", ADDRESS, 8));
+    assert!(is_listed(&directory, "near"), "the same process");
+}
--- a/crates/directory/src/holder_proof.rs
+++ b/crates/directory/src/holder_proof.rs
@@ -4,16 +4,20 @@
     crate::{
         group_snapshot::GroupSnapshot,
         node::DirectoryNode,
-        probe::{ControlRequest, request_row, request_rows, server_log},
+        probe::{
+            ControlRequest, ReplicaCheck, check_replicas, request_row, request_rows, server_log,
+        },
         supervisor::SupervisorSources,
     },
     banyansill_core::{
         directory::{
-            DirectoryCommand, DirectoryState, HolderProof, ProofStep, ServerLog, TargetReport,
+            DirectoryCommand, DirectoryState, EndedReplicas, HolderProof, ProofStep, ServerLog,
+            TargetReport, is_covered,
         },
         event::EventNumber,
         names::SharedName,
         route::TargetRole,
+        time::Micros,
     },
     banyansill_replica::command_log::CommandLog,
     banyansill_target::{ProbeRow, StatementProtocol},
@@ -21,9 +25,23 @@
     tokio::time::sleep,
 };
 
+/// Interval between two checks of the replicas.
+const CHECK_INTERVAL: Micros = Micros::from_secs(1);
+
 /// Interval between two steps of a proof.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Removal of replicas that have ended, once the others have the log that the primary had afterwards.
+struct PlannedRemoval {
+    /// Names and start times of the processes.
+    processes: Vec<(SharedName, u64)>,
+    primary: ServerLog,
+}
+
+fn process(report: &TargetReport) -> (SharedName, u64) {
+    (report.target.clone(), report.order.incarnation)
+}
+
 /// Proof of one group, repeated while this replica is the leader.
 pub(crate) struct HolderTask<L, P> {
     node: DirectoryNode<L>,
@@ -32,6 +50,9 @@
     proof: HolderProof,
     /// Primary to which the proof refers.
     primary: Option<SharedName>,
+    ended: EndedReplicas,
+    removal: Option<PlannedRemoval>,
+    checked_at: Option<Micros>,
 }
 
 impl<L, P> HolderTask<L, P>
@@ -46,6 +67,9 @@
             group: group.clone(),
             proof: HolderProof::default(),
             primary: None,
+            ended: EndedReplicas::default(),
+            removal: None,
+            checked_at: None,
         }
     }
 
@@ -56,6 +80,11 @@
             let read = self.node.log.inspect(move |state| GroupSnapshot::of(state, &group));
             let Ok(snapshot) = read.await else { return };
             self.take_step(&snapshot).await;
+            let now = self.node.clock.now();
+            if self.checked_at.is_none_or(|at| now.since(at) >= CHECK_INTERVAL) {
+                self.checked_at = Some(now);
+                self.check_replicas(&snapshot).await;
+            }
             sleep(STEP_INTERVAL).await;
         }
     }
@@ -82,6 +111,76 @@
         }
     }
 
+    /// Removes replicas that have ended without a farewell, so that the loss of the primary long after theirs is no loss of the
+    /// group.
+    ///
+    /// Each commit that one of them confirmed is in the log that the primary has after its end. They are removed once as many
+    /// replicas as confirm a commit have received that log.
+    async fn check_replicas(&mut self, snapshot: &GroupSnapshot) {
+        let primary = snapshot.primary().filter(|_| snapshot.record.promotion.is_none());
+        let Some(primary) = primary.filter(|_| snapshot.waits_for_replicas()) else {
+            self.removal = None;
+            return;
+        };
+        let replicas = snapshot.replicas();
+        self.ended.retain(|name| replicas.iter().any(|report| report.target == *name));
+        let checks = check_replicas(&self.protocol, &self.node.own.host, &replicas).await;
+        let now = self.node.clock.now();
+        let mut ended = Vec::new();
+        let mut running = Vec::new();
+        for (report, check) in checks {
+            let is_refused = check == ReplicaCheck::Ended;
+            let incarnation = report.order.incarnation;
+            if self.ended.observe(now, &report.target, incarnation, is_refused) {
+                ended.push(report);
+            } else {
+                running.push(report);
+            }
+        }
+        let processes: Vec<(SharedName, u64)> = ended.iter().map(process).collect();
+        if self.removal.as_ref().is_none_or(|removal| removal.processes != processes) {
+            self.removal = None;
+        }
+        if ended.is_empty() {
+            return;
+        }
+        if self.removal.is_none() {
+            let request = ControlRequest::Position;
+            let row = request_row(&self.protocol, &self.node.own.host, primary, request).await;
+            let leading = row.filter(|row| row.role == TargetRole::Primary);
+            let removal = |row| PlannedRemoval { processes, primary: server_log(&row) };
+            self.removal = leading.map(removal);
+        }
+        let Some(primary) = self.removal.as_ref().map(|removal| removal.primary) else { return };
+        let running: Vec<&TargetReport> = running.iter().collect();
+        let rows = self.request_positions(&running).await;
+        let logs: Vec<ServerLog> = rows.iter().map(server_log).collect();
+        if is_covered(primary, &logs, snapshot.sync_replicas) {
+            self.remove_ended(ended).await;
+        }
+    }
+
+    async fn remove_ended(&self, ended: Vec<TargetReport>) {
+        for report in ended {
+            let incarnation = report.order.incarnation;
+            let target = report.target.clone();
+            let command = DirectoryCommand::RemoveEnded { target, incarnation };
+            // If this fails, it is repeated after the next check.
+            let removed = self.node.change(&command, "removal of an ended replica").await;
+            if removed.is_ok_and(|removed| removed) {
+                log::info!(
+                    target: "event",
+                    event:display = EventNumber::EndedReplicaRemoved,
+                    group:display = self.group,
+                    server:display = report.target,
+                    address:display = report.address,
+                    incarnation;
+                    ""
+                );
+            }
+        }
+    }
+
     async fn ask_primary(&mut self, snapshot: &GroupSnapshot, primary: &TargetReport) {
         let departed = snapshot.departed_targets();
         let departed: Vec<&TargetReport> = departed.iter().collect();
--- a/crates/directory/src/probe.rs
+++ b/crates/directory/src/probe.rs
@@ -3,6 +3,7 @@
 use {
     banyansill_core::{
         directory::{ServerLog, TargetReport},
+        gateway::TargetError,
         names::SharedName,
         position::LogTerm,
         time::Micros,
@@ -209,6 +210,57 @@
     requests.join_all().await.into_iter().flatten().collect()
 }
 
+/// Result of a check of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReplicaCheck {
+    /// It reports this.
+    Answered(ProbeRow),
+    /// Its process has ended: the address refuses connections or belongs to another server.
+    Ended,
+    /// It does not respond, and may run.
+    Silent,
+}
+
+/// Checks several replicas at the same time.
+pub(crate) async fn check_replicas<P>(
+    protocol: &P,
+    host: &SharedName,
+    replicas: &[&TargetReport],
+) -> Vec<(TargetReport, ReplicaCheck)>
+where
+    P: StatementProtocol,
+{
+    let mut checks = JoinSet::new();
+    for report in replicas {
+        let (protocol, host, report) = (protocol.clone(), host.clone(), (*report).clone());
+        checks.spawn(async move {
+            let check = timeout(TARGET_REQUEST_TIMEOUT, check_replica(&protocol, &host, &report));
+            let result = check.await.unwrap_or(ReplicaCheck::Silent);
+            (report, result)
+        });
+    }
+    checks.join_all().await
+}
+
+async fn check_replica<P>(protocol: &P, host: &SharedName, report: &TargetReport) -> ReplicaCheck
+where
+    P: StatementProtocol,
+{
+    let mut connection = match open(protocol, host, report).await {
+        Ok(connection) => connection,
+        Err(ConnectError::Unreachable { source, .. })
+            if source.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            return ReplicaCheck::Ended;
+        }
+        Err(ConnectError::Refused(TargetError::Misrouted)) => return ReplicaCheck::Ended,
+        Err(_) => return ReplicaCheck::Silent,
+    };
+    let row = connection.probe(TargetRequest::Probe).await.ok().flatten();
+    connection.end().await;
+    row.map_or(ReplicaCheck::Silent, ReplicaCheck::Answered)
+}
+
 async fn open<P>(
     protocol: &P,
     host: &SharedName,
