fix(directory): a promotion is planned from the record that its command has stored

Callers saw: acknowledged commits were rolled back (LOST, `sync_replicas` 1) when all of control was killed right after it had ordered a promotion that takes seconds: the old primary returned, was served, and the order then took effect.

Cause: the plan of the next promotion was made from the local copy of the record, read before the command that begins it. After a restart that copy may lack the choice of the candidate, so that the promotion was given up as one without an order.

The log of an earlier failure and the order of the reads show the cause.

Why it works: the record under the new fence is what the command has stored, with all that earlier promotions may have ordered. Without that record the promotion is over. Whether an own order has failed is what this task has seen, not the name of the holder; and a promotion that was decided for another primary than the group has by then is given up.

No message and no stored state changed.

--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -13,8 +13,8 @@
         collections::FastMap,
         directory::{
             AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, EarlierOrder,
-            FinalLog, PrimaryEvidence, PrimaryVerdict, PromotionRecord, ServerLog, TargetReport,
-            TargetState, choose_candidate, choose_successor, keep_ordered,
+            FinalLog, PrimaryEvidence, PrimaryVerdict, ServerLog, TargetReport, TargetState,
+            choose_candidate, choose_successor, keep_ordered,
         },
         event::EventNumber,
         gateway::direct_entries,
@@ -129,6 +129,8 @@
     verdict: PrimaryVerdict,
     /// When the group was first seen without a primary; `None` while the recorded one may be it.
     no_primary_since: Option<Micros>,
+    /// Fence of the last own order whose target did not become primary.
+    failed_order: Option<u64>,
 }
 
 /// What a promotion is about to do.
@@ -152,6 +154,22 @@
 }
 
 impl PromotionPlan {
+    /// Makes the plan from the directory as the start of the promotion has left it; `None` if the promotion is over.
+    ///
+    /// The order of a lost leader may take effect at any time; `has_failed` is whether that of the replaced promotion was an
+    /// own one whose target has not become primary.
+    fn new(snapshot: &GroupSnapshot, fence: u64, has_failed: bool) -> Option<Self> {
+        let record = snapshot.record.promotion.as_ref().filter(|record| record.fence == fence)?;
+        let earlier = record.earlier.clone();
+        let ordered = match &earlier {
+            EarlierOrder::Target(target) if !has_failed => Some(target.clone()),
+            _ => None,
+        };
+        let replaced = snapshot.record.primary.clone();
+        let replaced = replaced.filter(|name| ordered.as_ref() != Some(name));
+        Some(Self { fence, earlier, replaced, ordered })
+    }
+
     fn may_be_ordered(&self) -> bool {
         self.earlier != EarlierOrder::Nothing
     }
@@ -295,6 +313,7 @@
             probe,
             verdict: PrimaryVerdict::Serving,
             no_primary_since: None,
+            failed_order: None,
         }
     }
 
@@ -422,44 +441,37 @@
 
     /// Carries out a promotion under a new fencing number, which replaces the unfinished one if there is one.
     async fn change_primary(&mut self, snapshot: &GroupSnapshot) {
-        let pending = snapshot.record.promotion.clone();
-        let holder = self.sources.node.own.host.clone();
-        let replaces = pending.as_ref().map_or(0, |pending| pending.fence);
+        let replaces = snapshot.record.promotion.as_ref().map_or(0, |pending| pending.fence);
         let begin = DirectoryCommand::BeginPromotion {
             group: self.group.clone(),
-            holder: holder.clone(),
+            holder: self.sources.node.own.host.clone(),
             replaces,
         };
         let Ok((fence, _)) = self.sources.node.submit(&begin, "start of a promotion").await else {
             return;
         };
-        let earlier = pending.as_ref().map_or(EarlierOrder::Nothing, PromotionRecord::last_order);
-        // The order of a lost leader may take effect at any time. An own attempt that did not finish has shown that its
-        // candidate does not become primary.
-        let is_own =
-            |pending: &PromotionRecord| pending.holder == holder && pending.candidate.is_some();
-        let ordered = match &earlier {
-            EarlierOrder::Target(target) if !pending.as_ref().is_some_and(is_own) => {
-                Some(target.clone())
-            }
-            _ => None,
-        };
-        let plan = PromotionPlan {
-            fence,
-            earlier,
-            replaced: snapshot.record.primary.clone().filter(|name| ordered.as_ref() != Some(name)),
-            ordered,
+        // What was read before the command may lag behind the log: after a restart, the choice of the promotion that this one
+        // replaces may not have been applied here yet.
+        let Some(begun) = self.snapshot().await else { return };
+        let Some(plan) = PromotionPlan::new(&begun, fence, self.failed_order == Some(replaces))
+        else {
+            return;
         };
         log::info!(
             target: "event",
             event:display = EventNumber::PromotionBegun,
             group:display = self.group,
-            before:display = snapshot.record.primary.as_deref().unwrap_or("-"),
+            before:display = begun.record.primary.as_deref().unwrap_or("-"),
             fence,
             replaces;
             ""
         );
-        let outcome = self.promote_candidate(&plan).await;
+        let outcome = if plan.may_be_ordered() || begun.record.primary == snapshot.record.primary {
+            self.promote_candidate(&plan).await
+        } else {
+            // The decision was about another primary than the one that the group has by now.
+            PromotionOutcome::Abandoned
+        };
         let primary = match outcome {
             PromotionOutcome::Promoted(primary) => Some(primary),
             PromotionOutcome::Abandoned => {
@@ -844,7 +856,10 @@
             match reply {
                 PromotionReply::Accepted => break,
                 // A new fencing number is needed, for this target or another one.
-                PromotionReply::Refused => return PromotionOutcome::Unfinished,
+                PromotionReply::Refused => {
+                    self.failed_order = Some(fence);
+                    return PromotionOutcome::Unfinished;
+                }
                 PromotionReply::Busy | PromotionReply::Unknown(_) => sleep(RETRY_INTERVAL).await,
             }
         }
@@ -855,6 +870,7 @@
             }
             sleep(PROMOTED_PROBE_INTERVAL).await;
         }
+        self.failed_order = Some(fence);
         PromotionOutcome::Unfinished
     }
 }
