fix(directory): replicas that do not answer delay a planned replacement less

Callers saw: a primary that a lost leader had demoted while it left was replaced only after 9.4 s, when it has exited (`a_leaving_primary_that_a_lost_leader_demoted_is_replaced` failed once with that time, 8 s allowed).

Cause: each poll of a promotion waits 500 ms twice for a replica that does not answer; a leaving primary that had stepped down was searched for 2 s as if the group's servers were still starting; and it was asked to step down again before it was ordered itself.

Change: only replicas that told their position are asked to pause, a leaving primary that does not lead any more is replaced at once where commits wait for replicas, and a primary that is ordered itself is not demoted first.

--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -425,7 +425,11 @@
             }
             return PROBE_INTERVAL;
         }
-        if !snapshot.targets.is_empty() && self.now().since(since) >= ADOPTION_TIMEOUT {
+        // A primary that leaves and does not lead any more has stepped down at the request of a lost leader.
+        let has_stepped_down = snapshot.waits_for_replicas()
+            && snapshot.primary().is_some_and(|report| report.state == TargetState::Draining);
+        let is_due = has_stepped_down || self.now().since(since) >= ADOPTION_TIMEOUT;
+        if !snapshot.targets.is_empty() && is_due {
             self.change_primary(snapshot).await;
         }
         PROBE_INTERVAL
@@ -557,7 +561,8 @@
                 sleep(RETRY_INTERVAL).await;
                 continue;
             };
-            if snapshot.waits_for_replicas() && !replaced.has_stepped_down {
+            let is_replaced = plan.replaced.as_ref() != Some(&choice.target.target);
+            if snapshot.waits_for_replicas() && is_replaced && !replaced.has_stepped_down {
                 let last = self.demote_primary(&snapshot, choice.pause_term).await;
                 if let Some(last) = last {
                     // Until now a target that has joined meanwhile may have confirmed commits.
@@ -767,6 +772,10 @@
         let positions: Vec<ProbeRow> = rows.iter().map(|(_, row)| *row).collect();
         let pause_term = next_term(&positions);
         if snapshot.waits_for_replicas() {
+            let answered =
+                |report: &TargetReport| rows.iter().any(|(name, _)| *name == report.target);
+            let asked: Vec<&TargetReport> =
+                asked.into_iter().filter(|report| answered(report)).collect();
             // A paused replica receives no more commits, so its position cannot change after the choice.
             rows = self.request_rows(&asked, ControlRequest::Pause(pause_term)).await;
         }
