fix(core, directory): a replica that comes back without its log is no proof

Cause: a restart under the same name was no departure, so nothing remembered the process before. The new process counted as a replica that answers, and the other one was promoted without what the two had acknowledged.

Why it works: the former process is recorded as a departed holder, in stored state, and cleared by the same proof as one that has left. An answer of a process that control may not know yet does not count until it had the time to report itself.

--- a/crates/core/src/directory/failover.rs
+++ b/crates/core/src/directory/failover.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{holders::ServerLog, state::EarlierOrder},
-    crate::{names::SharedName, time::Micros},
+    crate::{collections::FastMap, names::SharedName, position::LogPosition, time::Micros},
 };
 
 /// Time for which control's own probes must fail before the primary counts as lost: enough for one probe on the
@@ -113,6 +113,64 @@
     }
 }
 
+/// Time within which a process that has started is known to control: two intervals of reports, one of them lost.
+const REPORT_TIMEOUT: Micros = Micros::from_secs(3);
+
+/// Answers of one replica to the polls of a promotion.
+#[derive(Clone, Copy, Debug)]
+struct AnswerSeries {
+    /// Start time that the replica has reported.
+    incarnation: u64,
+    /// Start of the unbroken series of answers; `None` while it does not answer.
+    since: Option<Micros>,
+    /// Last position that it has told.
+    received: LogPosition,
+    /// Whether it may have started anew before the series.
+    is_doubtful: bool,
+}
+
+/// Finds the answers that may come from a process which has started without its log and is not yet known to control.
+///
+/// Such an answer says nothing of what the process before had received.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerWatch {
+    answers: FastMap<SharedName, AnswerSeries>,
+}
+
+impl AnswerWatch {
+    /// Takes a poll of a replica whose last report has the given start time, and returns whether its answer counts;
+    /// `received` is the position that it told, if it answered.
+    ///
+    /// One that was silent, has lost entries or has none counts when its process has had the time to report itself.
+    pub fn observe(
+        &mut self,
+        now: Micros,
+        target: &SharedName,
+        incarnation: u64,
+        received: Option<LogPosition>,
+    ) -> bool {
+        let last = self.answers.get(target).filter(|last| last.incarnation == incarnation);
+        let last_received = last.map_or(LogPosition::ZERO, |last| last.received);
+        let Some(received) = received else {
+            let silent = AnswerSeries {
+                incarnation,
+                since: None,
+                received: last_received,
+                is_doubtful: true,
+            };
+            self.answers.insert(target.clone(), silent);
+            return false;
+        };
+        let is_shorter = received < last_received;
+        let since = last.and_then(|last| last.since).filter(|_| !is_shorter).unwrap_or(now);
+        let is_doubtful =
+            is_shorter || received.offset == 0 || last.is_some_and(|last| last.is_doubtful);
+        let series = AnswerSeries { incarnation, since: Some(since), received, is_doubtful };
+        self.answers.insert(target.clone(), series);
+        !is_doubtful || now.since(since) >= REPORT_TIMEOUT
+    }
+}
+
 /// Response of a replica that may be promoted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CandidateAnswer {
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -17,8 +17,9 @@
 pub use {
     command::{DirectoryCommand, DirectoryRejection, DirectoryReply},
     failover::{
-        AWAITED_ENTRY_TTL, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, FinalLog, PrimaryEvidence,
-        PrimaryVerdict, VANISHED_ENTRY_TTL, choose_candidate, choose_successor, keep_ordered,
+        AWAITED_ENTRY_TTL, AnswerWatch, CandidateAnswer, ENTRY_FAILURE_TIMEOUT, FinalLog,
+        PrimaryEvidence, PrimaryVerdict, VANISHED_ENTRY_TTL, choose_candidate, choose_successor,
+        keep_ordered,
     },
     holders::{
         DepartedHolder, DepartedHolders, EndedReplicas, HolderProof, ProofStep, ServerLog,
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -347,6 +347,13 @@
         // The successor is asked in place of the target whose log it has.
         self.data.holders.hand_over(&report);
         let before = self.data.targets.insert(report.target.clone(), report.clone());
+        if let Some(before) = &before
+            && before.order.incarnation < report.order.incarnation
+            && before.role != TargetRole::Primary
+        {
+            // A replica starts again without its log.
+            self.record_holder(index, before);
+        }
         self.record_change(index, DirectoryItem::Target(report.target.clone()));
         let was_primary = before.is_some_and(|before| before.role == TargetRole::Primary);
         let record = self.data.groups.entry(report.group.clone()).or_default();
@@ -391,7 +398,7 @@
         true
     }
 
-    /// Records that the process of a replica has ended, if commits of its group wait for replicas.
+    /// Records that the process of a replica has ended, if commits of its group wait for replicas; a primary keeps its log.
     fn record_holder(&mut self, index: u64, report: &TargetReport) {
         let record = self.data.groups.get(&report.group);
         let is_primary =
--- a/crates/core/tests/departed_holders.rs
+++ b/crates/core/tests/departed_holders.rs
@@ -3,8 +3,8 @@
 use banyansill_core::{
     compression::{MAX_SNAPSHOT_BYTES, compress, decompress},
     directory::{
-        DirectoryCommand, DirectoryReply, DirectoryState, EndedReplicas, GroupRule, HolderProof,
-        ProofStep, ReportOrder, RouteDraft, ServerLog, TargetReport, TargetState,
+        AnswerWatch, DirectoryCommand, DirectoryReply, DirectoryState, EndedReplicas, GroupRule,
+        HolderProof, ProofStep, ReportOrder, RouteDraft, ServerLog, TargetReport, TargetState,
     },
     names::SharedName,
     position::{LogPosition, LogTerm},
@@ -114,6 +114,40 @@
     assert!(directory.holders("sync").is_empty());
 }
 
+// Guards against a replica that has started again without its log and counts for the process before; a primary keeps its log.
+#[test]
+fn a_replica_that_starts_again_departs() {
+    let mut directory = Directory::new();
+    directory.record(report("near", "sync", ADDRESS, 7));
+    directory.record(report("near", "sync", ADDRESS, 8));
+    assert_eq!(directory.holders("sync"), ["near".into()]);
+    directory.record(report("near", "sync", ADDRESS, 7));
+    assert_eq!(directory.holders("sync").len(), 1, "a late report");
+    let primary =
+        TargetReport { role: TargetRole::Primary, ..report("primary", "sync", "10.0.0.1:5001", 7) };
+    directory.record(primary);
+    directory.record(report("primary", "sync", "10.0.0.1:5001", 9));
+    assert_eq!(directory.holders("sync"), ["near".into()]);
+}
+
+// Guards against an answer of a process that control does not know yet, in place of the one before it.
+#[test]
+fn answers_of_unknown_processes_do_not_count() {
+    let (at, target) = (Micros::from_secs(5), SharedName::from("near"));
+    let position = |offset| Some(LogPosition::new(1, offset));
+    let mut watch = AnswerWatch::default();
+    assert!(watch.observe(at, &target, 7, position(90)));
+    assert!(!watch.observe(at, &target, 7, position(89)), "it has lost an entry");
+    let later = at + Micros::from_secs(3);
+    assert!(watch.observe(later, &target, 7, position(89)), "it had the time to report itself");
+    assert!(!watch.observe(later, &target, 7, None));
+    assert!(!watch.observe(later, &target, 7, position(89)), "it was silent");
+    assert!(watch.observe(later, &target, 8, position(89)), "its report is known");
+    let mut watch = AnswerWatch::default();
+    assert!(!watch.observe(at, &target, 7, position(0)), "it is empty");
+    assert!(watch.observe(later, &target, 7, position(0)));
+}
+
 // Guards against departures that are kept for groups whose promotions do not wait for a replica.
 #[test]
 fn only_groups_whose_commits_wait_keep_departures() {
--- a/crates/directory/src/supervisor.rs
+++ b/crates/directory/src/supervisor.rs
@@ -12,9 +12,9 @@
     banyansill_core::{
         collections::FastMap,
         directory::{
-            AWAITED_ENTRY_TTL, CandidateAnswer, DirectoryCommand, DirectoryState, EarlierOrder,
-            FinalLog, PrimaryEvidence, PrimaryVerdict, ServerLog, TargetReport, TargetState,
-            choose_candidate, choose_successor, keep_ordered,
+            AWAITED_ENTRY_TTL, AnswerWatch, CandidateAnswer, DirectoryCommand, DirectoryState,
+            EarlierOrder, FinalLog, PrimaryEvidence, PrimaryVerdict, ServerLog, TargetReport,
+            TargetState, choose_candidate, choose_successor, keep_ordered,
         },
         event::EventNumber,
         gateway::direct_entries,
@@ -516,6 +516,7 @@
     /// abandoned if the old primary serves again.
     async fn promote_candidate(&mut self, plan: &PromotionPlan) -> PromotionOutcome {
         let mut replaced = ReplacedPrimary::default();
+        let mut watch = AnswerWatch::default();
         loop {
             // Targets join and leave while a promotion waits for a candidate.
             let Some(mut snapshot) = self.snapshot().await else {
@@ -529,7 +530,7 @@
                 // It has started again, and may have acknowledged commits since.
                 replaced = ReplacedPrimary::default();
             }
-            let rows = self.request_candidates(&snapshot).await;
+            let rows = self.request_candidates(&snapshot, &mut watch).await;
             let mut choice = self.select_candidate(&snapshot, &rows, plan, replaced.last);
             if choice.is_none() && replaced.last.is_none() {
                 self.request_final_log(&snapshot, &rows, plan, &mut replaced).await;
@@ -764,7 +765,11 @@
     }
 
     /// Asks the replicas, and departed ones that still run, for what they have received.
-    async fn request_candidates(&self, snapshot: &GroupSnapshot) -> CandidateRows {
+    async fn request_candidates(
+        &self,
+        snapshot: &GroupSnapshot,
+        watch: &mut AnswerWatch,
+    ) -> CandidateRows {
         let replicas = snapshot.replicas();
         let departed = snapshot.departed_targets();
         let asked: Vec<&TargetReport> = replicas.iter().copied().chain(&departed).collect();
@@ -778,6 +783,15 @@
                 asked.into_iter().filter(|report| answered(report)).collect();
             // A paused replica receives no more commits, so its position cannot change after the choice.
             rows = self.request_rows(&asked, ControlRequest::Pause(pause_term)).await;
+            let now = self.now();
+            for report in &replicas {
+                let answer = rows.iter().position(|(target, _)| *target == report.target);
+                let received = answer.map(|answer| rows[answer].1.received);
+                let counts = watch.observe(now, &report.target, report.order.incarnation, received);
+                if let Some(answer) = answer.filter(|_| !counts) {
+                    rows.swap_remove(answer);
+                }
+            }
         }
         rows.sort_by(|(left, _), (right, _)| left.cmp(right));
         CandidateRows { rows, pause_term }
