fix(core): an entry of another writer hides no target that is served

Cause: the directory took the entry for the newest report of the replica, whose own ones then counted as late, for good.

Why it works: a report of a group that the routes do not name is refused if its target, or its address, is recorded for a group that they name, and one that came first is replaced by the first report of such a group. The decision is made before a report is proposed; how a command is applied is unchanged, so that replicas of both versions agree.

--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -181,7 +181,21 @@
     /// Returns why the report must not be recorded.
     pub fn admit(&self, report: TargetReport) -> Result<Option<TargetReport>, ReportFault> {
         report.check()?;
+        if !self.is_known(&report.group) {
+            // Another writer must not take a target of a group that is served away from it, nor its address.
+            let is_served = |recorded: &TargetReport| self.is_known(&recorded.group);
+            let at_address =
+                |recorded: &TargetReport| recorded.address == report.address && is_served(recorded);
+            let moves = self.data.targets.get(&report.target).is_some_and(is_served);
+            if moves || self.data.targets.values().any(at_address) {
+                return Err(ReportFault::UnknownGroup);
+            }
+        }
         let report = match self.data.targets.get(&report.target) {
+            // What was recorded for another group came from another writer.
+            Some(recorded) if self.is_known(&report.group) && !self.is_known(&recorded.group) => {
+                report.replacing(recorded.order)
+            }
             Some(recorded) => report.following(recorded.order),
             None => {
                 self.check_unknown(&report)?;
@@ -191,12 +205,17 @@
         Ok(self.would_change(&report).then_some(report))
     }
 
+    /// Returns whether the routes name a group, or there are none yet.
+    fn is_known(&self, group: &SharedName) -> bool {
+        self.data.book.version == 0 || self.data.book.groups.contains_key(group)
+    }
+
     /// Bounds the targets that belong to no group of the routes.
     fn check_unknown(&self, report: &TargetReport) -> Result<(), ReportFault> {
-        let groups = &self.data.book.groups;
-        if self.data.book.version == 0 || groups.contains_key(&report.group) {
+        if self.is_known(&report.group) {
             return Ok(());
         }
+        let groups = &self.data.book.groups;
         let unknown = self.data.targets.values().filter(|known| !groups.contains_key(&known.group));
         if unknown.count() < MAX_UNKNOWN_TARGETS {
             Ok(())
--- a/crates/core/src/directory/targets.rs
+++ b/crates/core/src/directory/targets.rs
@@ -78,6 +78,9 @@
     /// The start time or the sequence number is out of range.
     #[error("the start time or the sequence number is out of range")]
     Order,
+    /// The target or its address is recorded for a group of the routes, and the report names a group that is not one of them.
+    #[error("the target or its address belongs to another group, which is served")]
+    UnknownGroup,
     /// Too many targets of groups without a rule are recorded.
     #[error("too many targets of unknown groups")]
     TooManyUnknown,
@@ -142,9 +145,17 @@
     /// Earlier versions recorded such orders, and replicas of all versions have to apply a report alike.
     #[must_use]
     pub fn following(self, recorded: ReportOrder) -> Self {
-        if recorded.is_plausible() {
-            return self;
-        }
+        if recorded.is_plausible() { self } else { self.after(recorded) }
+    }
+
+    /// Returns the report with an order after `recorded`, whatever its own is: that of another writer may be later than any
+    /// that the target reaches.
+    #[must_use]
+    pub fn replacing(self, recorded: ReportOrder) -> Self {
+        if recorded < self.order { self } else { self.after(recorded) }
+    }
+
+    fn after(self, recorded: ReportOrder) -> Self {
         let order = recorded.successor().unwrap_or(self.order);
         Self { order, ..self }
     }
--- a/crates/core/tests/directory_rules.rs
+++ b/crates/core/tests/directory_rules.rs
@@ -478,6 +478,30 @@
     assert_eq!(state.admit(good()), Ok(Some(good())));
 }
 
+// Guards against an entry of another writer, with a group that is not served, that hides a target of one that is.
+#[test]
+fn entries_of_unknown_groups_hide_no_target() {
+    let mut state = DirectoryState::default();
+    let command =
+        DirectoryCommand::ApplyRoutes { draft: draft(1, &["d"]), document: "{}".to_owned().into() };
+    state.apply(1, &command.encode());
+    let order = ReportOrder { incarnation: 9, sequence: 1 };
+    let odd = |target: &str| TargetReport { group: "elsewhere".into(), order, ..report(target, 1) };
+    record(&mut state, 2, report("a", 1));
+    assert_eq!(state.admit(odd("a")), Err(ReportFault::UnknownGroup));
+    let at_address = TargetReport { address: report("a", 1).address, ..odd("other") };
+    assert_eq!(state.admit(at_address), Err(ReportFault::UnknownGroup));
+    // The entry came first.
+    record(&mut state, 3, odd("bb"));
+    for (index, target_state) in [(4, TargetState::Ready), (5, TargetState::Draining)] {
+        let live = TargetReport { state: target_state, ..report("bb", index) };
+        let admitted = state.admit(live).expect("a report").expect("a change");
+        record(&mut state, index, admitted);
+        let recorded = &state.targets()[&SharedName::from("bb")];
+        assert_eq!((&*recorded.group, recorded.state), ("g", target_state));
+    }
+}
+
 // Guards against a directory that grows with every name that another writer makes up.
 #[test]
 fn targets_of_unknown_groups_are_bounded() {
