fix(gateway): prepared statements of a pooled connection are bounded

Cause: a pooled connection records every statement that was prepared on it, and nothing removes one while the connection is in use.

Why it works: a connection with more than 128 KiB or 256 prepared statements is reset before its next use, by the check that idle connections pass, so both sides forget them together; a refused reset closes the connection.

--- a/crates/gateway/src/pool/connection.rs
+++ b/crates/gateway/src/pool/connection.rs
@@ -26,6 +26,13 @@
     Refused,
 }
 
+/// Size of the statements prepared on a connection above which it is reset before its next use, in bytes; a gateway may have
+/// dozens of connections to each target.
+const MAX_PREPARED_BYTES: usize = 128 * 1_024;
+
+/// Number of statements prepared on a connection above which it is reset before its next use.
+const MAX_PREPARED_STATEMENTS: usize = 256;
+
 /// Session variables set by a caller, by name.
 pub(crate) type SessionValues = BTreeMap<Bytes, Bytes>;
 
@@ -38,6 +45,11 @@
     pub(crate) shape: Bytes,
 }
 
+/// Returns the size of prepared statements, in bytes.
+fn size_of_shapes(prepared: &PreparedNames) -> usize {
+    prepared.keys().map(|shape| shape.shape.len()).sum()
+}
+
 /// Connection to a target that is shared by sessions, one at a time.
 #[derive(Debug)]
 pub(crate) struct PooledConnection<P> {
@@ -50,6 +62,8 @@
     /// Statements prepared on this connection, with the names that the pool gave them: names chosen by
     /// different callers may collide.
     prepared: PreparedNames,
+    /// Size of the statements in `prepared`, in bytes.
+    prepared_bytes: usize,
     /// Whether the target's session state may differ from `values` and `prepared`, because a change of it
     /// was not acknowledged.
     uncertain: bool,
@@ -70,6 +84,7 @@
             last_used: now,
             values: SessionValues::new(),
             prepared: PreparedNames::default(),
+            prepared_bytes: 0,
             uncertain: false,
             relay: None,
             begun_at: None,
@@ -89,6 +104,7 @@
             team: SharedName::default(),
             last_used: now,
             values,
+            prepared_bytes: size_of_shapes(&prepared),
             prepared,
             uncertain: false,
             relay: Some(relay),
@@ -124,9 +140,20 @@
     /// Replaces the recorded session state after another entry used the connection.
     pub(crate) fn set_state(&mut self, values: SessionValues, prepared: PreparedNames) {
         self.values = values;
+        self.prepared_bytes = size_of_shapes(&prepared);
         self.prepared = prepared;
     }
 
+    /// Returns whether so many statements are prepared on the connection that it is to be reset before its next use.
+    pub(crate) fn is_full(&self) -> bool {
+        self.prepared_bytes > MAX_PREPARED_BYTES || self.prepared.len() > MAX_PREPARED_STATEMENTS
+    }
+
+    fn clear_prepared(&mut self) {
+        self.prepared.clear();
+        self.prepared_bytes = 0;
+    }
+
     /// Returns whether another session may use the connection.
     pub(crate) fn is_reusable(&self) -> bool {
         !self.uncertain && !self.connection.is_closed() && self.connection.is_clean()
@@ -188,7 +215,7 @@
             return Err(AttemptEnd::NotSent);
         }
         if needs_reset {
-            self.prepared.clear();
+            self.clear_prepared();
         }
         self.values.clone_from(values);
         self.uncertain = false;
@@ -252,12 +279,15 @@
         }
         self.uncertain = false;
         self.prepared.insert(shape.clone(), name.clone());
+        self.prepared_bytes += shape.shape.len();
         Ok(name)
     }
 
     /// Removes the record of a prepared statement that the target reported as unknown; the rest of the record may be as wrong.
     pub(crate) fn remove_prepared(&mut self, shape: &PreparedShape) {
-        self.prepared.remove(shape);
+        if self.prepared.remove(shape).is_some() {
+            self.prepared_bytes -= shape.shape.len();
+        }
         self.uncertain = true;
     }
 
@@ -288,7 +318,7 @@
         if answer.outcome.is_err() {
             return Ok(ConnectionCheck::Refused);
         }
-        self.prepared.clear();
+        self.clear_prepared();
         self.values.clear();
         self.uncertain = false;
         Ok(ConnectionCheck::Reset)
--- a/crates/gateway/src/pool/target.rs
+++ b/crates/gateway/src/pool/target.rs
@@ -247,7 +247,8 @@
             let slot = self.wait_for_slot(&options.slot, kind).await?;
             if let Some(mut pooled) = self.take_idle(slot.ticket, options) {
                 let idle = self.now().since(pooled.last_used);
-                if idle < options.trusted_idle || self.is_alive(&mut pooled, options).await {
+                let is_trusted = idle < options.trusted_idle && !pooled.is_full();
+                if is_trusted || self.is_alive(&mut pooled, options).await {
                     return Ok(TargetLease::new(pooled, slot));
                 }
                 self.put_back(PooledConnection::closed(self.protocol().clone()));
