fix(entry): report the close of the last connection of a released broker

Operators saw: after a planned hand-over, targets stayed without a broker as long as the former entry lives.

A released broker publishes its report when a pooled connection closes, but not when the connection of its probe does. If that is the last one, the report says for good that one is open, and control waits for a report that none is.

Why it works: the task that maintains the pool publishes at both kinds of closes, and lives until neither kind is open.

--- a/crates/entry/src/broker/pool_maintenance.rs
+++ b/crates/entry/src/broker/pool_maintenance.rs
@@ -61,7 +61,8 @@
             } else if Instant::now() >= self.backoff_until {
                 self.open_missing();
             }
-            if shared.retired() && self.opening.is_empty() && shared.pooled.open() == 0 {
+            let open_connections = shared.pooled.open() + shared.probing.open();
+            if shared.retired() && self.opening.is_empty() && open_connections == 0 {
                 self.hub.publish(&shared);
                 return;
             }
@@ -73,6 +74,12 @@
                         self.hub.publish(&shared);
                     }
                 }
+                // The connection of the probe may be the last one; control waits for a report that none is open.
+                () = shared.probing.closed() => {
+                    if !open || closing {
+                        self.hub.publish(&shared);
+                    }
+                }
                 Some(opened) = self.opening.join_next(), if !self.opening.is_empty() => {
                     self.handle_opened(opened.ok());
                 }
